Lay the foundations: interfaces, error kinds, clock, checks

Cause: every part of the balancer needs the same error kinds, clock, typed messages and interfaces before it can be written beside the others.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+export PYTHONPATH := src
+export UV_USE_IO_URING := 0
+
+.PHONY: setup demo test check format lint types binary bench soak fuzz clean
+
+$(VENV)/.ready: requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -r requirements.lock
+	touch $@
+
+setup: $(VENV)/.ready
+
+demo: setup
+	$(BIN)/python -m lovageyoke demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+check: setup
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests
+
+clean:
+	rm -rf build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/src/lovageyoke/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Load and experiment tools."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/caller/__init__.py
@@ -0,0 +1,3 @@
+"""The server that callers connect to."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/clock/__init__.py
@@ -0,0 +1,3 @@
+"""Time in milliseconds."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/clock/system.py
@@ -0,0 +1,28 @@
+"""Clock of the operating system."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+
+from lovageyoke.clock import api
+
+NANOSECONDS_PER_MS = 1_000_000
+MS_PER_SECOND = 1_000
+
+
+class SystemClock(api.Clock):
+    """Reads the monotonic and the wall clock of the machine."""
+
+    def now_ms(self) -> float:
+        """Returns the monotonic clock in milliseconds."""
+        return time.monotonic_ns() / NANOSECONDS_PER_MS
+
+    def wall_ms(self) -> int:
+        """Returns milliseconds since the Unix epoch."""
+        return time.time_ns() // NANOSECONDS_PER_MS
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Sleeps on the event loop."""
+        await anyio.sleep(max(0.0, duration_ms) / MS_PER_SECOND)
--- /dev/null
+++ b/src/lovageyoke/config/__init__.py
@@ -0,0 +1,3 @@
+"""Services, intents, plans and the audit trail."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/entry/__init__.py
@@ -0,0 +1,3 @@
+"""The process that runs on every entry VM."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/errors/__init__.py
@@ -0,0 +1,3 @@
+"""Error kinds, the answers they map to, and the exception tree."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/errors/exceptions.py
@@ -0,0 +1,121 @@
+"""The exception tree."""
+
+from __future__ import annotations
+
+from lovageyoke.errors import kinds
+from lovageyoke.errors import table
+
+
+class LovageyokeError(Exception):
+    """Root of all errors of this project.
+
+    Attributes:
+        kind: The error kind, which decides the answer.
+        detail: Description for people; never holds secrets.
+    """
+
+    default_kind = kinds.ErrorKind.INTERNAL
+
+    def __init__(
+        self, detail: str, kind: kinds.ErrorKind | None = None
+    ) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.kind = kind or self.default_kind
+
+    @property
+    def answer(self) -> table.Answer:
+        """The answer of this error's kind."""
+        return table.answer_for(self.kind)
+
+
+class CallerError(LovageyokeError):
+    """The caller's request can't be served as it was sent."""
+
+    default_kind = kinds.ErrorKind.BAD_REQUEST
+
+
+class AdmissionError(LovageyokeError):
+    """The request was refused before it was sent to an upstream."""
+
+    default_kind = kinds.ErrorKind.OVERLOADED
+
+
+class UpstreamError(LovageyokeError):
+    """An exchange with an upstream failed."""
+
+    default_kind = kinds.ErrorKind.UPSTREAM_RESET
+
+
+class ClaimError(LovageyokeError):
+    """An unrepeatable request was not granted its claim."""
+
+    default_kind = kinds.ErrorKind.CLAIM_UNAVAILABLE
+
+
+class PlatformError(LovageyokeError):
+    """The platform's service did not do what was asked."""
+
+    default_kind = kinds.ErrorKind.PLATFORM_UNAVAILABLE
+
+
+class PlatformUnavailableError(PlatformError):
+    """The call provably had no effect: outage, refused, or rate limited."""
+
+
+class PlatformOutcomeUnknownError(PlatformError):
+    """The answer was lost; the write may have taken effect."""
+
+    default_kind = kinds.ErrorKind.PLATFORM_OUTCOME_UNKNOWN
+
+
+class RevisionConflictError(PlatformError):
+    """The key exists, or its revision is not the expected one."""
+
+    default_kind = kinds.ErrorKind.PLAN_CONFLICT
+
+
+class PeerError(LovageyokeError):
+    """A peer channel failed or timed out."""
+
+    default_kind = kinds.ErrorKind.PEER_UNAVAILABLE
+
+
+class DecodeError(LovageyokeError):
+    """Bytes from outside the process are not a valid message."""
+
+    default_kind = kinds.ErrorKind.DECODE
+
+
+class OperatorError(LovageyokeError):
+    """An operator's command was refused."""
+
+    default_kind = kinds.ErrorKind.FORBIDDEN
+
+
+class ValidationError(LovageyokeError):
+    """Input from an operator is invalid.
+
+    Attributes:
+        problems: One line for each problem, naming the field.
+    """
+
+    default_kind = kinds.ErrorKind.INVALID_INTENT
+
+    def __init__(
+        self, problems: tuple[str, ...], kind: kinds.ErrorKind | None = None
+    ) -> None:
+        super().__init__("; ".join(problems), kind)
+        self.problems = problems
+
+
+class SettingsError(ValidationError):
+    """The settings file is invalid."""
+
+    default_kind = kinds.ErrorKind.INVALID_SETTINGS
+
+
+class IntentError(ValidationError):
+    """The intent is invalid."""
+
+    default_kind = kinds.ErrorKind.INVALID_INTENT
--- /dev/null
+++ b/src/lovageyoke/idempotency/__init__.py
@@ -0,0 +1,3 @@
+"""The at-most-once log of unrepeatable requests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/observe/__init__.py
@@ -0,0 +1,3 @@
+"""Logs and metrics."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/operator/__init__.py
@@ -0,0 +1,3 @@
+"""The administration API."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/peer/__init__.py
@@ -0,0 +1,3 @@
+"""Channels between entry VMs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/peer/api.py
@@ -0,0 +1,45 @@
+"""Interface of channels between entry VMs."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import attrs
+
+
+@attrs.frozen
+class Message:
+    """Base of the messages between entry VMs."""
+
+
+Handler = Callable[[str, Message], Awaitable[Message | None]]
+"""Handles a message from the entry named first; returns a reply or None."""
+
+
+class PeerChannel(abc.ABC):
+    """Typed messages to other entries, over authenticated connections."""
+
+    @abc.abstractmethod
+    async def send(self, entry_id: str, message: Message) -> None:
+        """Sends a message without a reply; it may be lost."""
+
+    @abc.abstractmethod
+    async def request(
+        self, entry_id: str, message: Message, timeout_ms: float
+    ) -> Message:
+        """Sends a message and waits for its reply.
+
+        Args:
+            entry_id: The peer.
+            message: The request.
+            timeout_ms: How long to wait for the reply, in milliseconds.
+
+        Raises:
+            PeerError: No reply in time; the peer may have acted.
+        """
+
+    @abc.abstractmethod
+    def handle(self, message_type: type[Message], handler: Handler) -> None:
+        """Registers the handler of a message type."""
--- /dev/null
+++ b/src/lovageyoke/routing/__init__.py
@@ -0,0 +1,3 @@
+"""The choice of an upstream for each request."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings of one process, read from TOML."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/standin/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins for the platform and for upstreams."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/supervisor/__init__.py
@@ -0,0 +1,3 @@
+"""The supervisor tree."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/transport/__init__.py
@@ -0,0 +1,3 @@
+"""Connections to upstreams."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/transport/api.py
@@ -0,0 +1,104 @@
+"""Interface of connections to upstreams."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import AsyncIterator
+
+import attrs
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@attrs.frozen
+class Target:
+    """An upstream's socket address.
+
+    Attributes:
+        upstream_id: Identifier of the upstream in its service.
+        address: IP number.
+        port: TCP port.
+    """
+
+    upstream_id: str
+    address: str
+    port: int
+
+
+@attrs.frozen
+class Request:
+    """A request to send to an upstream.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: End-to-end headers, names in lower case.
+        body: The whole body.
+        repeatable: Whether running it twice does no harm.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    repeatable: bool
+
+
+@attrs.frozen
+class ResponseHead:
+    """Status and headers of an upstream's response.
+
+    Attributes:
+        status: HTTP status code.
+        headers: Headers, names in lower case.
+    """
+
+    status: int
+    headers: Headers
+
+
+class Exchange(abc.ABC):
+    """One request and its response, on a connection that it owns.
+
+    Attributes:
+        head: Status and headers of the response.
+    """
+
+    head: ResponseHead
+
+    @abc.abstractmethod
+    def body(self) -> AsyncIterator[bytes]:
+        """Yields the response body.
+
+        Raises:
+            UpstreamError: Kind RESPONSE_TRUNCATED when the body ends early,
+                UPSTREAM_SILENT when no byte arrives in time.
+        """
+
+    @abc.abstractmethod
+    async def aclose(self) -> None:
+        """Ends the exchange; reuses the connection only if it is clean."""
+
+
+class Transport(abc.ABC):
+    """Sends requests to upstreams."""
+
+    @abc.abstractmethod
+    async def send(
+        self, target: Target, request: Request, deadline_ms: float
+    ) -> Exchange:
+        """Sends a request and waits for the head of its response.
+
+        Args:
+            target: The upstream.
+            request: The request.
+            deadline_ms: Monotonic time after which the call is given up.
+
+        Raises:
+            UpstreamError: Its kind tells whether any byte of the request was
+                written: CONNECT_FAILED and NOTHING_WRITTEN mean none was.
+        """
+
+    @abc.abstractmethod
+    async def aclose(self) -> None:
+        """Closes all connections."""
