--- a/src/lovageyoke/errors/exceptions.py
+++ b/src/lovageyoke/errors/exceptions.py
@@ -119,3 +119,7 @@
     """The intent is invalid."""
 
     default_kind = kinds.ErrorKind.INVALID_INTENT
+
+
+class SupervisorError(LovageyokeError):
+    """A supervised child failed and may not be restarted again."""
