--- /dev/null
+++ b/tests/peer/test_fake.py
@@ -0,0 +1,106 @@
+"""Tests of the in-process peer network."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+
+import anyio
+import attrs
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from lovageyoke.errors import exceptions
+from lovageyoke.peer import api
+from lovageyoke.peer import codec
+from lovageyoke.peer import fake
+
+
+@attrs.frozen
+class Ping(api.Message):
+    number: int
+
+
+CODEC = codec.Codec((Ping,))
+
+
+@contextlib.asynccontextmanager
+async def echoing(clock, **conditions):
+    rng = random.Random(7)  # noqa: S311
+    network = fake.FakeNetwork(clock, rng, fake.Conditions(**conditions), CODEC)
+    received = []
+
+    async def echo(source, message):
+        received.append((source, message.number))
+        return message
+
+    async with network.running():
+        sender = network.channel("a")
+        network.channel("b").handle(Ping, echo)
+        yield network, sender, received
+
+
+async def settle(clock, duration_ms):
+    for _ in range(int(duration_ms)):
+        await anyio.wait_all_tasks_blocked()
+        clock.advance(1)
+    await anyio.wait_all_tasks_blocked()
+
+
+async def ask(sender, replies):
+    try:
+        replies.append(await sender.request("b", Ping(1), 50))
+    except exceptions.PeerError as error:
+        replies.append(error)
+
+
+async def test_requests_are_answered(clock):
+    async with echoing(clock) as (network, sender, _):
+        reply = await sender.request("b", Ping(5), 50)
+        assertions.assert_that(reply, matchers.Equals(Ping(5)))
+        assertions.assert_that(network.sent_bytes, matchers.GreaterThan(0))
+
+
+async def test_delays_reorder_and_loss_loses(clock):
+    conditions = {"loss": 0.2, "min_delay_ms": 1, "max_delay_ms": 20}
+    async with echoing(clock, **conditions) as (_, sender, received):
+        for number in range(50):
+            await sender.send("b", Ping(number))
+        await settle(clock, 30)
+    numbers = [number for _, number in received]
+    assertions.assert_that(len(numbers), matchers.LessThan(50))
+    assertions.assert_that(
+        numbers, matchers.Not(matchers.Equals(sorted(numbers)))
+    )
+
+
+@pytest.mark.parametrize("cut", [("a", "b"), ("b", "a")])
+async def test_a_cut_is_one_way(clock, cut):
+    replies = []
+    async with echoing(clock) as (network, sender, received):
+        network.cut(*cut)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask, sender, replies)
+            await settle(clock, 60)
+        arrived = cut == ("b", "a")
+        assertions.assert_that(bool(received), matchers.Equals(arrived))
+        network.heal()
+        await ask(sender, replies)
+    assertions.assert_that(
+        replies[0], matchers.IsInstance(exceptions.PeerError)
+    )
+    assertions.assert_that(replies[1], matchers.Equals(Ping(1)))
+
+
+async def test_a_silent_peer_times_out(clock):
+    replies = []
+    async with echoing(clock) as (network, sender, received):
+        network.silent.add("b")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask, sender, replies)
+            await settle(clock, 60)
+    assertions.assert_that(received, matchers.Equals([]))
+    assertions.assert_that(
+        replies[0], matchers.IsInstance(exceptions.PeerError)
+    )
