Read settings from TOML with every problem named at once

Cause: a process must refuse wrong settings with errors that an operator can act on, and the same holds for intents. Measured: twelve malformed files each give an error that names file, key, value and what is allowed; five problems in one file give five lines.

--- /dev/null
+++ b/src/lovageyoke/schema/__init__.py
@@ -0,0 +1,3 @@
+"""Checked conversion of operators' input to attrs classes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/settings/test_load.py
@@ -0,0 +1,113 @@
+"""Tests of settings files."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from lovageyoke.errors import exceptions
+from lovageyoke.settings import load
+
+GOOD = """
+[entry]
+entry_id = "entry-1"
+failure_domain = "dk-east-a"
+
+[platform]
+url = "http://127.0.0.1:9000"
+"""
+SECRET = "short-secret"
+MALFORMED = {
+    "not-toml": ("[entry", "not valid TOML"),
+    "empty": ("", "entry: is missing"),
+    "unknown-key": (GOOD + "[log]\nlevle = 'info'", "log.levle: unknown key"),
+    "wrong-type": (
+        GOOD + "[limits]\nmax_in_flight = 'many'",
+        "limits.max_in_flight: 'many' is not allowed; expected a number",
+    ),
+    "boolean-number": (
+        GOOD + "[limits]\nmax_in_flight = true",
+        "limits.max_in_flight: True is not allowed",
+    ),
+    "out-of-range": (
+        GOOD + "[limits]\nmax_in_flight = 0",
+        "limits.max_in_flight: 0 is not allowed; expected a number from 1",
+    ),
+    "not-a-choice": (
+        GOOD + "[log]\nlevel = 'loud'",
+        "log.level: 'loud' is not allowed; expected one of 'debug'",
+    ),
+    "host-name": (
+        GOOD + "[listen]\ncaller = 'localhost:80'",
+        "listen.caller: 'localhost:80' is not allowed; expected IP:PORT",
+    ),
+    "bad-url": (
+        GOOD.replace("http:", "ftp:"),
+        "platform.url: 'ftp://127.0.0.1:9000' is not allowed",
+    ),
+    "half-tls": (
+        GOOD + "[tls.caller]\nkey = '/nonexistent.pem'",
+        "tls.caller: certificate and key go together",
+    ),
+    "table-expected": ("entry = 5\n", "entry: 5 is not allowed"),
+    "operator-twice": (
+        GOOD
+        + f"[[operators]]\nname='a'\ntoken_sha256='{'0' * 64}'\n"
+        + f"[[operators]]\nname='a'\ntoken_sha256='{'1' * 64}'\n",
+        "operators[1].name: 'a' is used twice",
+    ),
+}
+
+
+@pytest.mark.parametrize("case", sorted(MALFORMED))
+def test_malformed_settings_name_the_key(case, tmp_path):
+    text, expected = MALFORMED[case]
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    error = _refused(path)
+    lines = "\n".join(error.problems)
+    assertions.assert_that(lines, matchers.Contains(expected))
+    assertions.assert_that(lines, matchers.StartsWith(str(path)))
+
+
+def test_several_problems_are_reported_at_once(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(
+        "[entry]\nentry_id = 'Entry 1'\n"
+        "[platform]\nurl = 3\ntimeout_ms = -1\n"
+        "[[operators]]\nname = 'a'\ntoken_sha256 = 'x'\n"
+    )
+    error = _refused(path)
+    assertions.assert_that(error.problems, matchers.HasLength(5))
+
+
+def test_secrets_are_never_shown(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(
+        GOOD
+        + f"[peers]\nkeys = ['{SECRET}']\n"
+        + f"[[operators]]\nname = 'a'\ntoken_sha256 = '{SECRET}'\n"
+    )
+    text = str(_refused(path))
+    assertions.assert_that(text, matchers.Contains("peers.keys"))
+    assertions.assert_that(text, matchers.Not(matchers.Contains(SECRET)))
+
+
+def test_good_settings_are_read():
+    settings = load.parse(GOOD)
+    assertions.assert_that(settings.entry.entry_id, matchers.Equals("entry-1"))
+
+
+@given(st.text(max_size=200))
+def test_arbitrary_text_is_refused_cleanly(text):
+    with pytest.raises(exceptions.ValidationError):
+        load.parse(text)
+
+
+def _refused(path):
+    with pytest.raises(exceptions.SettingsError) as caught:
+        load.load(path)
+    return caught.value
