--- /dev/null
+++ b/src/lovageyoke/platform/rates.py
@@ -0,0 +1,89 @@
+"""Call rates of the platform's service, and a count of its calls."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+MS_PER_SECOND = 1_000
+WRITES_PER_S = 500.0
+READS_PER_S = 2_000.0
+
+
+class CallKind(enum.Enum):
+    """A kind of call, as the platform counts them."""
+
+    GET = "get"
+    CREATE = "create"
+    COMPARE_AND_SWAP = "compare-and-swap"
+    DELETE = "delete"
+    WATCH = "watch"
+    GRANT_LEASE = "grant-lease"
+    RENEW_LEASE = "renew-lease"
+    LIST_VMS = "list-vms"
+
+
+READS = frozenset({CallKind.GET, CallKind.WATCH, CallKind.LIST_VMS})
+
+
+@attrs.define
+class TokenBucket:
+    """Allows ``rate_per_s`` calls a second with bursts of ``capacity``.
+
+    Attributes:
+        rate_per_s: Tokens that are added each second.
+        capacity: The most tokens that the bucket holds.
+        tokens: Tokens left.
+        updated_ms: When ``tokens`` was computed.
+    """
+
+    rate_per_s: float
+    capacity: float
+    tokens: float = attrs.field(
+        default=attrs.Factory(lambda self: self.capacity, takes_self=True)
+    )
+    updated_ms: float | None = None
+
+    def take(self, now_ms: float) -> bool:
+        """Takes one token; returns False if there is none."""
+        if self.updated_ms is not None:
+            elapsed_ms = max(0.0, now_ms - self.updated_ms)
+            earned = elapsed_ms * self.rate_per_s / MS_PER_SECOND
+            self.tokens = min(self.capacity, self.tokens + earned)
+        self.updated_ms = now_ms
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class CallCounter:
+    """Counts calls by kind and holds them to the platform's rates.
+
+    A watch is counted once, when it starts to wait.
+
+    Attributes:
+        admitted: Calls that were served, by kind.
+        refused: Calls beyond the rates, by kind.
+        writes: Bucket of the calls that write.
+        reads: Bucket of the other calls.
+    """
+
+    def __init__(
+        self,
+        writes_per_s: float = WRITES_PER_S,
+        reads_per_s: float = READS_PER_S,
+    ) -> None:
+        self.admitted = dict.fromkeys(CallKind, 0)
+        self.refused = dict.fromkeys(CallKind, 0)
+        self.writes = TokenBucket(writes_per_s, writes_per_s)
+        self.reads = TokenBucket(reads_per_s, reads_per_s)
+
+    def admit(self, kind: CallKind, now_ms: float) -> bool:
+        """Counts a call; returns False if it exceeds the rate."""
+        bucket = self.reads if kind in READS else self.writes
+        admitted = bucket.take(now_ms)
+        counts = self.admitted if admitted else self.refused
+        counts[kind] += 1
+        return admitted
