--- /dev/null
+++ b/tests/idempotency/memory.py
@@ -0,0 +1,66 @@
+"""A platform in memory that loses answers on request."""
+
+from __future__ import annotations
+
+from lovageyoke.errors import exceptions
+from lovageyoke.platform import api
+
+
+class MemoryPlatform(api.Platform):
+    def __init__(self) -> None:
+        self.records: dict[str, api.Record] = {}
+        self.down = False
+        self.lose_answers = 0
+        self.calls: list[tuple[str, str]] = []
+
+    def begin(self, name: str, key: str) -> None:
+        self.calls.append((name, key))
+        if self.down:
+            raise exceptions.PlatformUnavailableError("down")
+
+    def end(self) -> None:
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise exceptions.PlatformOutcomeUnknownError("lost")
+
+    async def get(self, key):
+        self.begin("get", key)
+        return self.records.get(key)
+
+    async def create(self, key, value, lease_id=None):
+        self.begin("create", key)
+        if key in self.records:
+            raise exceptions.RevisionConflictError(key)
+        self.records[key] = api.Record(key, value, 1)
+        self.end()
+        return self.records[key]
+
+    async def compare_and_swap(self, key, value, revision):
+        self.begin("compare_and_swap", key)
+        self.check(key, revision)
+        self.records[key] = api.Record(key, value, revision + 1)
+        self.end()
+        return self.records[key]
+
+    async def delete(self, key, revision):
+        self.begin("delete", key)
+        self.check(key, revision)
+        del self.records[key]
+        self.end()
+
+    def check(self, key: str, revision: int) -> None:
+        record = self.records.get(key)
+        if record is None or record.revision != revision:
+            raise exceptions.RevisionConflictError(key)
+
+    async def watch(self, key, revision, timeout_ms):
+        raise NotImplementedError
+
+    async def grant_lease(self, ttl_ms):
+        raise NotImplementedError
+
+    async def renew_lease(self, lease_id):
+        raise NotImplementedError
+
+    async def list_vms(self):
+        raise NotImplementedError
