--- /dev/null
+++ b/src/lovageyoke/standin/upstream.py
@@ -0,0 +1,226 @@
+"""A stand-in for an upstream, with slots, load reports and faults."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import hashlib
+import json
+
+import anyio
+import attrs
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from lovageyoke.clock import api as clock_api
+
+LOAD_HEADER = "lovageyoke-load"
+SHED_HEADER = "lovageyoke-shed"
+CHUNK_BYTES = 65_536
+PATTERN = hashlib.blake2b(b"scan").digest() * (CHUNK_BYTES // 64)
+
+
+@attrs.define
+class Behaviour:
+    """What the stand-in does; changed while it runs.
+
+    Attributes:
+        slots: Requests served at a time.
+        max_queue: Requests that may wait for a slot; more are shed.
+        service_ms: Time to serve a request.
+        extra_ms: Delay added to every request, for a straggler.
+        stalled: Whether requests hang until this is reset.
+        draining: Whether load reports ask for no new work.
+        chunk_delay_ms: Delay before each chunk of a download.
+    """
+
+    slots: int = 6
+    max_queue: int = 12
+    service_ms: float = 2.0
+    extra_ms: float = 0.0
+    stalled: bool = False
+    draining: bool = False
+    chunk_delay_ms: float = 0.0
+
+
+@attrs.define
+class Ledger:
+    """What an upstream, or several that share it, has run.
+
+    Attributes:
+        runs: Number of runs of each booking identity.
+        served: Number of requests served by each upstream.
+        probes: Number of probes answered by each upstream.
+    """
+
+    runs: dict[str, int] = attrs.field(factory=dict)
+    served: dict[str, int] = attrs.field(factory=dict)
+    probes: dict[str, int] = attrs.field(factory=dict)
+
+    def count_run(self, identity: str) -> None:
+        """Records that a booking was executed."""
+        self.runs[identity] = self.runs.get(identity, 0) + 1
+
+    def count_served(self, upstream_id: str) -> None:
+        """Records that a request was served."""
+        self.served[upstream_id] = self.served.get(upstream_id, 0) + 1
+
+    def count_probe(self, upstream_id: str) -> None:
+        """Records that a probe was answered."""
+        self.probes[upstream_id] = self.probes.get(upstream_id, 0) + 1
+
+
+def scan_bytes(start: int, end: int) -> bytes:
+    """Returns the bytes of the stand-in's scan from start to end."""
+    offset = start % len(PATTERN)
+    copies = (offset + end - start) // len(PATTERN) + 1
+    return (PATTERN * copies)[offset : offset + end - start]
+
+
+class StandinUpstream:
+    """An upstream for demonstrations, tests and the bench.
+
+    Attributes:
+        upstream_id: Its id.
+        behaviour: What it does now.
+        ledger: What it ran.
+        in_flight: Requests being served.
+        queued: Requests that wait for a slot.
+    """
+
+    def __init__(
+        self,
+        upstream_id: str,
+        clock: clock_api.Clock,
+        behaviour: Behaviour | None = None,
+        ledger: Ledger | None = None,
+    ) -> None:
+        self.upstream_id = upstream_id
+        self.clock = clock
+        self.behaviour = behaviour or Behaviour()
+        self.ledger = ledger or Ledger()
+        self.in_flight = 0
+        self.queued = 0
+        self._slots = anyio.Semaphore(self.behaviour.slots)
+
+    def app(self) -> applications.Starlette:
+        """Returns the ASGI application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route("/-/load", self._load),
+                routing.Route("/-/behaviour", self._control, methods=["POST"]),
+                routing.Route("/scans/{size:int}", self._scan),
+                routing.Route(
+                    "/{path:path}",
+                    self._serve,
+                    methods=["GET", "POST", "PUT", "DELETE"],
+                ),
+            ]
+        )
+
+    def load_header(self) -> str:
+        """Returns the load report of this moment."""
+        draining = int(self.behaviour.draining)
+        return (
+            f"in_flight={self.in_flight};queued={self.queued};"
+            f"draining={draining};cold=0"
+        )
+
+    async def _load(self, request: requests.Request) -> responses.Response:
+        self.ledger.count_probe(self.upstream_id)
+        return responses.Response(headers={LOAD_HEADER: self.load_header()})
+
+    async def _control(self, request: requests.Request) -> responses.Response:
+        known = {each.name for each in attrs.fields(Behaviour)} - {"slots"}
+        changes = await request.json()
+        unknown = sorted(set(changes) - known)
+        if unknown:
+            text = f"unknown: {', '.join(unknown)}\n"
+            return responses.PlainTextResponse(text, status_code=400)
+        for name, value in changes.items():
+            setattr(self.behaviour, name, value)
+        return responses.JSONResponse(attrs.asdict(self.behaviour))
+
+    def _shed(self) -> responses.Response:
+        headers = {SHED_HEADER: "1", LOAD_HEADER: self.load_header()}
+        return responses.Response(status_code=503, headers=headers)
+
+    async def _serve(self, request: requests.Request) -> responses.Response:
+        if self.queued >= self.behaviour.max_queue:
+            return self._shed()
+        body = await request.body()
+        await self._work()
+        self.ledger.count_served(self.upstream_id)
+        if request.method == "POST":
+            identity = request.headers.get("idempotency-key", "")
+            self.ledger.count_run(identity or body.decode("latin-1"))
+        answer = {"upstream": self.upstream_id, "path": request.url.path}
+        return responses.Response(
+            json.dumps(answer),
+            media_type="application/json",
+            headers={LOAD_HEADER: self.load_header()},
+        )
+
+    async def _work(self) -> None:
+        self.queued += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.queued -= 1
+        self.in_flight += 1
+        try:
+            await self._hang_while_stalled()
+            duration_ms = self.behaviour.service_ms + self.behaviour.extra_ms
+            await self.clock.sleep_ms(duration_ms)
+        finally:
+            self.in_flight -= 1
+            self._slots.release()
+
+    async def _hang_while_stalled(self) -> None:
+        while self.behaviour.stalled:
+            await self.clock.sleep_ms(20)
+
+    async def _scan(self, request: requests.Request) -> responses.Response:
+        size = request.path_params["size"]
+        etag = f'"scan-{size}"'
+        start = _range_start(request, etag)
+        if start >= size:
+            return responses.Response(status_code=416)
+        headers = {
+            "etag": etag,
+            "accept-ranges": "bytes",
+            "content-length": str(size - start),
+            LOAD_HEADER: self.load_header(),
+        }
+        if start:
+            headers["content-range"] = f"bytes {start}-{size - 1}/{size}"
+        self.ledger.count_served(self.upstream_id)
+        return responses.StreamingResponse(
+            self._scan_chunks(start, size),
+            status_code=206 if start else 200,
+            headers=headers,
+            media_type="application/octet-stream",
+        )
+
+    async def _scan_chunks(self, start: int, end: int) -> AsyncIterator[bytes]:
+        self.in_flight += 1
+        try:
+            while start < end:
+                if self.behaviour.chunk_delay_ms:
+                    await self.clock.sleep_ms(self.behaviour.chunk_delay_ms)
+                stop = min(end, start + CHUNK_BYTES)
+                yield scan_bytes(start, stop)
+                start = stop
+        finally:
+            self.in_flight -= 1
+
+
+def _range_start(request: requests.Request, etag: str) -> int:
+    value = request.headers.get("range", "")
+    if request.headers.get("if-range", etag) != etag:
+        return 0
+    first, _, last = value.removeprefix("bytes=").partition("-")
+    if not value.startswith("bytes=") or last or not first.isdigit():
+        return 0
+    return int(first)
