Speak HTTP with the platform, and stand in for it

Several processes must share one platform. The stand-in serves the same store and faults over hypercorn on a pre-bound socket; the client treats only a failed connection or an explicit no-effect answer as proof that a write had no effect, and every other failure, a bare 503 included, as an unknown outcome.

--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -5,9 +5,10 @@
 import os
 
 from lovageyoke.cli import app
+from lovageyoke.cli import standin_platform
 from lovageyoke.cli import version
 
-COMMANDS = (version,)
+COMMANDS = (standin_platform, version)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/lovageyoke/platform/http.py
@@ -0,0 +1,225 @@
+"""Client of the platform's service over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import contextlib
+import ssl
+
+import anyio
+import httpx
+
+from lovageyoke.errors import exceptions
+from lovageyoke.platform import api
+from lovageyoke.platform import wire
+
+MS_PER_SECOND = 1_000
+CONNECT_TIMEOUT_MS = 1_000
+CALL_TIMEOUT_MS = 3_000
+WATCH_MARGIN_MS = 2_000
+MAX_CONNECTIONS = 256
+
+Params = Mapping[str, str | int]
+
+_NOTHING_SENT = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+)
+
+
+class HttpPlatform(api.Platform):
+    """The platform's service at an address.
+
+    A call is known to have had no effect if no connection could be made, or
+    if the service says so. Any other failure of a write leaves its outcome
+    unknown.
+
+    Attributes:
+        base_url: Where the service is.
+        call_timeout_ms: Bound on a call, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        call_timeout_ms: int = CALL_TIMEOUT_MS,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.base_url = base_url
+        self.call_timeout_ms = call_timeout_ms
+        self._client = httpx.AsyncClient(
+            base_url=base_url,
+            verify=tls if tls is not None else True,
+            trust_env=False,
+            timeout=httpx.Timeout(
+                None, connect=CONNECT_TIMEOUT_MS / MS_PER_SECOND
+            ),
+            limits=httpx.Limits(
+                max_connections=MAX_CONNECTIONS,
+                max_keepalive_connections=MAX_CONNECTIONS,
+            ),
+        )
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
+
+    async def get(self, key: str) -> api.Record | None:
+        """Returns the record of a key, or None if there is none."""
+        response = await self._read(wire.RECORD_PATH, {"key": key})
+        return _record_or_none(key, response)
+
+    async def create(
+        self, key: str, value: bytes, lease_id: str | None = None
+    ) -> api.Record:
+        """Creates a key that must not exist."""
+        params: dict[str, str | int] = {"key": key}
+        if lease_id is not None:
+            params["lease_id"] = lease_id
+        response = await self._write("POST", wire.RECORD_PATH, params, value)
+        return api.Record(key, value, _written_revision(response))
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, revision: int
+    ) -> api.Record:
+        """Replaces the value of a key whose revision is ``revision``."""
+        params: Params = {"key": key, "revision": revision}
+        response = await self._write("PUT", wire.RECORD_PATH, params, value)
+        return api.Record(key, value, _written_revision(response))
+
+    async def delete(self, key: str, revision: int) -> None:
+        """Deletes a key whose revision is ``revision``."""
+        params: Params = {"key": key, "revision": revision}
+        await self._write("DELETE", wire.RECORD_PATH, params, b"")
+
+    async def watch(
+        self, key: str, revision: int, timeout_ms: int
+    ) -> api.Record | None:
+        """Waits until the key's revision differs from ``revision``."""
+        params: Params = {
+            "key": key,
+            "revision": revision,
+            "timeout_ms": timeout_ms,
+        }
+        response = await self._read(
+            wire.WATCH_PATH, params, timeout_ms + WATCH_MARGIN_MS
+        )
+        return _record_or_none(key, response)
+
+    async def grant_lease(self, ttl_ms: int) -> api.Lease:
+        """Returns a new lease."""
+        response = await self._write(
+            "POST", wire.LEASES_PATH, {"ttl_ms": ttl_ms}, b""
+        )
+        with _malformed_is_unknown():
+            return wire.decode_lease(response.content)
+
+    async def renew_lease(self, lease_id: str) -> bool:
+        """Renews a lease; returns False if it has lapsed."""
+        response = await self._write(
+            "PUT", wire.LEASES_PATH, {"lease_id": lease_id}, b""
+        )
+        answer = response.headers.get(wire.ANSWER_HEADER)
+        return bool(answer != wire.ANSWER_ABSENT)
+
+    async def list_vms(self) -> tuple[api.Vm, ...]:
+        """Returns the lagging list of live and leaving VMs."""
+        response = await self._read(wire.VMS_PATH, {})
+        try:
+            return wire.decode_vms(response.content)
+        except exceptions.DecodeError as error:
+            raise exceptions.PlatformUnavailableError(error.detail) from error
+
+    async def _read(
+        self, path: str, params: Params, timeout_ms: int | None = None
+    ) -> httpx.Response:
+        try:
+            response = await self._call("GET", path, params, b"", timeout_ms)
+        except (httpx.HTTPError, TimeoutError) as error:
+            raise _unavailable(error) from error
+        absent = response.headers.get(wire.ANSWER_HEADER) == wire.ANSWER_ABSENT
+        if response.is_success or absent:
+            return response
+        raise exceptions.PlatformUnavailableError(
+            f"platform answered {response.status_code}"
+        )
+
+    async def _write(
+        self, method: str, path: str, params: Params, body: bytes
+    ) -> httpx.Response:
+        try:
+            response = await self._call(method, path, params, body, None)
+        except _NOTHING_SENT as error:
+            raise _unavailable(error) from error
+        except (httpx.HTTPError, TimeoutError) as error:
+            raise exceptions.PlatformOutcomeUnknownError(
+                f"platform did not answer: {type(error).__name__}"
+            ) from error
+        _raise_for_refusal(response)
+        return response
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        params: Params,
+        body: bytes,
+        timeout_ms: int | None,
+    ) -> httpx.Response:
+        bound_ms = timeout_ms or self.call_timeout_ms
+        with anyio.fail_after(bound_ms / MS_PER_SECOND):
+            return await self._client.request(
+                method, path, params=params, content=body
+            )
+
+
+def _unavailable(error: Exception) -> exceptions.PlatformUnavailableError:
+    return exceptions.PlatformUnavailableError(
+        f"platform unreachable: {type(error).__name__}"
+    )
+
+
+def _raise_for_refusal(response: httpx.Response) -> None:
+    if response.is_success:
+        return
+    answer = response.headers.get(wire.ANSWER_HEADER)
+    if answer == wire.ANSWER_CONFLICT:
+        raise exceptions.RevisionConflictError(response.text)
+    if answer == wire.ANSWER_NO_EFFECT:
+        raise exceptions.PlatformUnavailableError(response.text)
+    raise exceptions.PlatformOutcomeUnknownError(
+        f"platform answered {response.status_code}"
+    )
+
+
+def _written_revision(response: httpx.Response) -> int:
+    with _malformed_is_unknown():
+        return _revision(response)
+
+
+def _record_or_none(key: str, response: httpx.Response) -> api.Record | None:
+    if wire.ANSWER_HEADER in response.headers:
+        return None
+    try:
+        return api.Record(key, response.content, _revision(response))
+    except exceptions.DecodeError as error:
+        raise exceptions.PlatformUnavailableError(error.detail) from error
+
+
+def _revision(response: httpx.Response) -> int:
+    text = response.headers.get(wire.REVISION_HEADER, "")
+    if not (text.isascii() and text.isdigit()):
+        raise exceptions.DecodeError(f"bad revision {text!r}")
+    return int(text)
+
+
+@contextlib.contextmanager
+def _malformed_is_unknown() -> Iterator[None]:
+    """Turns a malformed answer to a write into an unknown outcome."""
+    try:
+        yield
+    except exceptions.DecodeError as error:
+        raise exceptions.PlatformOutcomeUnknownError(error.detail) from error
--- /dev/null
+++ b/src/lovageyoke/serving/__init__.py
@@ -0,0 +1,3 @@
+"""Serving of HTTP applications."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/serving/hosting.py
@@ -0,0 +1,124 @@
+"""Serves an ASGI application on a socket that is already bound."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import contextlib
+import logging
+import socket
+import ssl
+from typing import cast
+
+import anyio
+from hypercorn import asyncio as hypercorn_asyncio
+from hypercorn import config as hypercorn_config
+from hypercorn import typing as hypercorn_types
+from starlette import types
+
+from lovageyoke.errors import exceptions
+
+BACKLOG = 1_024
+KEEP_ALIVE_S = 600.0
+KEEP_ALIVE_REQUESTS = 1_000_000_000
+GRACEFUL_TIMEOUT_S = 3.0
+
+
+class HostConfig(hypercorn_config.Config):
+    """Configuration of the server library, with an optional TLS context.
+
+    The library closes connections after 1,000 requests by default, which a
+    client would see as lost answers.
+
+    Attributes:
+        tls: Server side TLS context, or None for plain TCP.
+    """
+
+    tls: ssl.SSLContext | None = None
+
+    @property
+    def ssl_enabled(self) -> bool:
+        """Whether connections use TLS."""
+        return self.tls is not None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Returns the TLS context."""
+        return self.tls
+
+
+def bind(address: str, port: int) -> socket.socket:
+    """Returns a listening TCP socket.
+
+    Args:
+        address: IP number.
+        port: TCP port; 0 for an ephemeral one.
+
+    Raises:
+        SettingsError: The address can't be bound.
+    """
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((address, port))
+    except OSError as error:
+        listener.close()
+        problem = f"can't listen on {address!r} port {port}: {error.strerror}"
+        raise exceptions.SettingsError((problem,)) from error
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def port_of(listener: socket.socket) -> int:
+    """Returns the port that a socket is bound to."""
+    return int(listener.getsockname()[1])
+
+
+async def serve(
+    app: types.ASGIApp,
+    listener: socket.socket,
+    shutdown: anyio.Event,
+    tls: ssl.SSLContext | None = None,
+    graceful_timeout_s: float = GRACEFUL_TIMEOUT_S,
+) -> None:
+    """Serves until ``shutdown`` is set, then ends gracefully.
+
+    Args:
+        app: An ASGI application.
+        listener: A listening socket, which is closed at the end.
+        shutdown: Ends the server.
+        tls: TLS context, or None for plain TCP.
+        graceful_timeout_s: Seconds that requests in flight have to end.
+    """
+    config = HostConfig()
+    config.tls = tls
+    config.bind = [f"fd://{listener.detach()}"]
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_max_requests = KEEP_ALIVE_REQUESTS
+    config.graceful_timeout = graceful_timeout_s
+    config.accesslog = None
+    config.errorlog = logging.getLogger("lovageyoke.serving")
+    config.include_server_header = False
+    framework = cast(hypercorn_types.ASGIFramework, app)
+    await hypercorn_asyncio.serve(
+        framework, config, shutdown_trigger=shutdown.wait
+    )
+
+
+@contextlib.asynccontextmanager
+async def running(
+    app: types.ASGIApp,
+    listener: socket.socket,
+    graceful_timeout_s: float = GRACEFUL_TIMEOUT_S,
+) -> AsyncIterator[int]:
+    """Serves in the background of a with block, and yields the port."""
+    shutdown = anyio.Event()
+    port = port_of(listener)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            serve, app, listener, shutdown, None, graceful_timeout_s
+        )
+        try:
+            yield port
+        finally:
+            shutdown.set()
--- /dev/null
+++ b/tests/platform/test_http.py
@@ -0,0 +1,146 @@
+"""Tests of the HTTP client against the stand-in's server."""
+
+from __future__ import annotations
+
+import contextlib
+
+import anyio
+import httpx
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from lovageyoke.clock import system
+from lovageyoke.errors import exceptions
+from lovageyoke.platform import api
+from lovageyoke.platform import fake
+from lovageyoke.platform import faults
+from lovageyoke.platform import http
+from lovageyoke.platform import store
+from lovageyoke.serving import hosting
+from lovageyoke.standin import platform as standin_platform
+
+
+@contextlib.asynccontextmanager
+async def running_platform(call_timeout_ms=10_000):
+    """Yields a client and the platform that serves it."""
+    state = store.PlatformStore(vm_list_lag_ms=0)
+    served = fake.FakePlatform(state, system.SystemClock())
+    server = standin_platform.PlatformServer(served)
+    listener = hosting.bind("127.0.0.1", 0)
+    async with hosting.running(server.app, listener, 0.1) as port:
+        client = http.HttpPlatform(f"http://127.0.0.1:{port}", call_timeout_ms)
+        try:
+            yield client, served
+        finally:
+            await client.aclose()
+
+
+async def test_records_travel_unchanged(anyio_backend):
+    key = "a/b c?é&="
+    async with running_platform() as (client, _):
+        assertions.assert_that(await client.get(key), matchers.Is(None))
+        created = await client.create(key, b"\x00\xff")
+        swapped = await client.compare_and_swap(key, b"", created.revision)
+        assertions.assert_that(swapped, matchers.Equals(await client.get(key)))
+        with pytest.raises(exceptions.RevisionConflictError):
+            await client.create(key, b"x")
+        with pytest.raises(exceptions.RevisionConflictError):
+            await client.compare_and_swap(key, b"x", created.revision)
+        await client.delete(key, swapped.revision)
+        assertions.assert_that(await client.get(key), matchers.Is(None))
+
+
+async def test_watches_wake_and_time_out(anyio_backend):
+    async with running_platform() as (client, _):
+        unchanged = await client.watch("k", 0, 10)
+        assertions.assert_that(unchanged, matchers.Is(None))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(client.create, "k", b"a")
+            record = await client.watch("k", 0, 10_000)
+        assertions.assert_that(record.value, matchers.Equals(b"a"))
+
+
+async def test_leases_and_vms(anyio_backend):
+    vms = (api.Vm("e1", "127.0.0.1", api.VmState.LEAVING),)
+    async with running_platform() as (client, served):
+        served.store.set_vms(vms, served.clock.now_ms())
+        assertions.assert_that(await client.list_vms(), matchers.Equals(vms))
+        lease = await client.grant_lease(60_000)
+        assertions.assert_that(
+            await client.renew_lease(lease.lease_id), matchers.Is(True)
+        )
+        assertions.assert_that(
+            await client.renew_lease("other"), matchers.Is(False)
+        )
+
+
+@pytest.mark.parametrize(
+    ("fault", "error", "effect"),
+    [
+        (
+            faults.Faults(outage=True),
+            exceptions.PlatformUnavailableError,
+            None,
+        ),
+        (
+            faults.Faults(lost_answer_share=1.0),
+            exceptions.PlatformOutcomeUnknownError,
+            b"a",
+        ),
+        (
+            faults.Faults(latency_ms=60_000),
+            exceptions.PlatformOutcomeUnknownError,
+            None,
+        ),
+    ],
+)
+async def test_faults_reach_the_client(anyio_backend, fault, error, effect):
+    async with running_platform() as (client, served):
+        served.injector.faults = fault
+        client.call_timeout_ms = 200 if fault.latency_ms else 10_000
+        with pytest.raises(error):
+            await client.create("k", b"a")
+        client.call_timeout_ms = 10_000
+        served.injector.faults = faults.Faults()
+        record = await client.get("k")
+        assertions.assert_that(record and record.value, matchers.Equals(effect))
+
+
+async def test_refused_connection_proves_no_effect(anyio_backend):
+    listener = hosting.bind("127.0.0.1", 0)
+    port = hosting.port_of(listener)
+    listener.close()
+    client = http.HttpPlatform(f"http://127.0.0.1:{port}")
+    with pytest.raises(exceptions.PlatformUnavailableError):
+        await client.create("k", b"a")
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        httpx.Response(503),
+        httpx.Response(200),
+        httpx.Response(409),
+        httpx.Response(200, headers={"platform-revision": "x"}),
+    ],
+)
+async def test_bare_answers_to_a_write_prove_nothing(anyio_backend, response):
+    client = http.HttpPlatform("http://platform.invalid")
+    client._client = httpx.AsyncClient(
+        base_url="http://platform.invalid",
+        transport=httpx.MockTransport(lambda _: response),
+    )
+    with pytest.raises(exceptions.PlatformOutcomeUnknownError):
+        await client.create("k", b"a")
+
+
+async def test_admin_faults_are_checked(anyio_backend):
+    async with running_platform() as (client, served):
+        admin = client._client
+        refused = await admin.put("/admin/faults", json={"outrage": True})
+        taken = await admin.put("/admin/faults", json={"outage": True})
+    assertions.assert_that(
+        (refused.status_code, taken.status_code, served.injector.faults.outage),
+        matchers.Equals((400, 200, True)),
+    )
