--- a/src/lovageyoke/routing/api.py
+++ b/src/lovageyoke/routing/api.py
@@ -104,4 +104,12 @@
 
     @abc.abstractmethod
     def drain(self, upstream_id: str, now_ms: float) -> None:
-        """Stops new work to an upstream until it is configured afresh."""
+        """Stops new work to an upstream until restored or reconfigured.
+
+        An upstream that is not in the set is ignored: signs that came before
+        the configuration are given again after ``set_upstreams``.
+        """
+
+    @abc.abstractmethod
+    def restore(self, upstream_id: str, now_ms: float) -> None:
+        """Allows new work again, beginning with a slow start."""
