Import the tracking base where the registry names it

Cause: mypy refuses a type reached through another module's import. Change: import routing.tracking directly.

--- a/src/lovageyoke/routing/registry.py
+++ b/src/lovageyoke/routing/registry.py
@@ -9,8 +9,9 @@
 from lovageyoke.routing import api
 from lovageyoke.routing import baselines
 from lovageyoke.routing import pool
+from lovageyoke.routing import tracking
 
-BASELINES: dict[str, type[baselines.tracking.TrackingPolicy]] = {
+BASELINES: dict[str, type[tracking.TrackingPolicy]] = {
     "random": baselines.RandomPolicy,
     "round-robin": baselines.RoundRobinPolicy,
     "least-in-flight": baselines.LeastInFlightPolicy,
