Add the commands for settings and the stand-in upstream

Cause: operators check a settings file before they use it, and the path can be started by hand only with an upstream to answer. Change: `settings check`, `standin upstream`, one table from error kind to exit code, and one handler of stop signals that both stand-ins use.

--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -5,10 +5,12 @@
 import os
 
 from lovageyoke.cli import app
+from lovageyoke.cli import settings_check
 from lovageyoke.cli import standin_platform
+from lovageyoke.cli import standin_upstream
 from lovageyoke.cli import version
 
-COMMANDS = (standin_platform, version)
+COMMANDS = (settings_check, standin_platform, standin_upstream, version)
 
 
 def main() -> None:
--- a/src/lovageyoke/cli/standin_platform.py
+++ b/src/lovageyoke/cli/standin_platform.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import signal
 from typing import Annotated
 
 import anyio
 import typer
 
+from lovageyoke.cli import signals
 from lovageyoke.cli import standin
 from lovageyoke.clock import system
 from lovageyoke.platform import api
@@ -67,7 +67,7 @@
     shutdown = anyio.Event()
     typer.echo(f"platform stand-in on http://{address}:{bound_port}")
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_shut_down_on_signal, shutdown)
+        tasks.start_soon(signals.set_on_stop, shutdown)
         await hosting.serve(
             server.app,
             listener,
@@ -75,10 +75,3 @@
             graceful_timeout_s=GRACEFUL_TIMEOUT_S,
         )
         tasks.cancel_scope.cancel()
-
-
-async def _shut_down_on_signal(shutdown: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            shutdown.set()
-            return
