--- /dev/null
+++ b/src/lovageyoke/retry/budget.py
@@ -0,0 +1,65 @@
+"""Token budget that bounds the retries and hedges of a service."""
+
+from __future__ import annotations
+
+from lovageyoke.config import model
+
+FLOOR_PER_S = 0.5
+MAX_TOKENS = 10.0
+MS_PER_SECOND = 1_000.0
+
+
+class RetryBudget:
+    """Allows a ratio of the requests to be sent again, and a small floor.
+
+    Each first attempt earns ``ratio`` tokens, each second earns ``floor_per_s``
+    of them, and each retry or hedge costs one. At most ``max_tokens`` are
+    kept, so over any period the retries are at most ``max_tokens + ratio x
+    requests + floor_per_s x seconds``.
+
+    Attributes:
+        ratio: Tokens earned by a first attempt.
+        floor_per_s: Tokens earned by a second of time.
+        max_tokens: Tokens that are kept at most.
+        tokens: Tokens at ``updated_ms``.
+        updated_ms: When the tokens were last counted.
+        spent: Tokens spent since the start.
+        refused: Retries that the budget refused since the start.
+    """
+
+    def __init__(
+        self,
+        now_ms: float,
+        ratio: float = model.DEFAULT_RETRY_RATIO,
+        floor_per_s: float = FLOOR_PER_S,
+        max_tokens: float = MAX_TOKENS,
+    ) -> None:
+        self.ratio = ratio
+        self.floor_per_s = floor_per_s
+        self.max_tokens = max_tokens
+        self.tokens = min(1.0, max_tokens)
+        self.updated_ms = now_ms
+        self.spent = 0
+        self.refused = 0
+
+    def record_request(self, now_ms: float) -> None:
+        """Earns tokens for a first attempt."""
+        self.refill(now_ms)
+        self.tokens = min(self.max_tokens, self.tokens + self.ratio)
+
+    def try_spend(self, now_ms: float) -> bool:
+        """Takes the token of one retry or hedge, if there is one."""
+        self.refill(now_ms)
+        if self.tokens < 1.0:
+            self.refused += 1
+            return False
+        self.tokens -= 1.0
+        self.spent += 1
+        return True
+
+    def refill(self, now_ms: float) -> None:
+        """Earns the floor's tokens for the time since the last count."""
+        elapsed_ms = max(0.0, now_ms - self.updated_ms)
+        earned = elapsed_ms / MS_PER_SECOND * self.floor_per_s
+        self.tokens = min(self.max_tokens, self.tokens + earned)
+        self.updated_ms = max(self.updated_ms, now_ms)
