Build a single-file executable with shiv

Cause: the program ships as one binary, and a one-file bundle whose loader forks a child is ruled out. Change: `make binary` builds a zipapp; its libraries are installed once per lock file, so that a changed source costs a rebuild of the project alone.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 demo: setup
 	$(BIN)/python -m lovageyoke demo
 
-test: setup
+test: setup dist/lovageyoke
 	$(BIN)/python -m pytest
 
 check: setup
@@ -30,3 +30,18 @@
 
 clean:
 	rm -rf build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
+
+build/site/.ready: $(VENV)/.ready requirements.lock pyproject.toml
+	rm -rf build/site
+	$(BIN)/python -m pip install --quiet --target build/site \
+		--no-build-isolation --constraint requirements.lock .
+	rm -rf build/site/lovageyoke build/site/lovageyoke-*
+	touch $@
+
+dist/lovageyoke: build/site/.ready $(shell find src -name '*.py')
+	mkdir -p dist
+	$(BIN)/shiv --quiet --console-script lovageyoke \
+		--python '/usr/bin/env python3' --site-packages build/site \
+		--output-file $@ --no-deps --no-build-isolation .
+
+binary: dist/lovageyoke
