--- /dev/null
+++ b/src/lovageyoke/config/change.py
@@ -0,0 +1,79 @@
+"""Applies a confirmed plan to a group's document; pure."""
+
+from __future__ import annotations
+
+import attrs
+
+from lovageyoke.config import document
+from lovageyoke.config import plan as plans
+
+
+@attrs.frozen
+class Confirmation:
+    """Who confirms a plan, and when.
+
+    Attributes:
+        operator: Name of the operator.
+        wall_ms: Milliseconds since the Unix epoch.
+        force: Whether to apply a plan that can't work.
+    """
+
+    operator: str
+    wall_ms: int
+    force: bool = False
+
+
+def apply(
+    current: document.Document,
+    plan: plans.Plan,
+    confirmation: Confirmation,
+) -> document.Document:
+    """Returns the document after a plan, with its audit record.
+
+    Args:
+        current: The document; the service's version in it is the plan's base.
+        plan: A plan computed from ``current``.
+        confirmation: Who confirms it.
+    """
+    old = current.entry(plan.name)
+    sequence = current.sequence + 1
+    entry = document.Entry(
+        version=old.version + 1,
+        sequence=sequence,
+        service=plan.service,
+        previous=old.service,
+    )
+    record = _audit_record(old, plan, confirmation)
+    return attrs.evolve(
+        current,
+        sequence=sequence,
+        entries={**current.entries, plan.name: entry},
+        records=(*current.records, record),
+    )
+
+
+def find(
+    records: tuple[document.AuditRecord, ...], service: str, version: int
+) -> document.AuditRecord | None:
+    """Returns the record of the change that made a version, if it is there."""
+    for record in reversed(records):
+        if record.service == service and record.version == version:
+            return record
+    return None
+
+
+def _audit_record(
+    old: document.Entry, plan: plans.Plan, confirmation: Confirmation
+) -> document.AuditRecord:
+    owner = plan.service or old.service
+    return document.AuditRecord(
+        service=plan.name,
+        team=owner.team if owner else "",
+        version=old.version + 1,
+        action=plan.action,
+        plan_id=plan.plan_id,
+        operator=confirmation.operator,
+        wall_ms=confirmation.wall_ms,
+        changes=plan.changes,
+        forced=bool(plan.faults),
+    )
--- /dev/null
+++ b/src/lovageyoke/config/document.py
@@ -0,0 +1,172 @@
+"""The document of a group: its services and their latest audit records."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import enum
+from typing import TypeVar
+
+import attrs
+import cattrs
+from cattrs.preconf import cbor2 as cattrs_cbor2
+
+from lovageyoke.config import model
+from lovageyoke.errors import exceptions
+
+FORMAT = 1
+
+Decoded = TypeVar("Decoded")
+
+
+class Action(enum.Enum):
+    """What a plan does to a service."""
+
+    CREATE = "create"
+    CHANGE = "change"
+    REMOVE = "remove"
+    UNDO = "undo"
+
+
+@attrs.frozen
+class FieldChange:
+    """One field that a plan changes.
+
+    Attributes:
+        path: Name of the field.
+        before: Its old value in words, "" if it is new.
+        after: Its new value in words, "" if it is removed.
+    """
+
+    path: str
+    before: str
+    after: str
+
+
+@attrs.frozen
+class AuditRecord:
+    """A confirmed change.
+
+    Attributes:
+        service: Name of the service.
+        team: Team of the service after the change, or before its removal.
+        version: Version that the change made.
+        action: What it did.
+        plan_id: Id of the confirmed plan.
+        operator: Name of the operator who confirmed it.
+        wall_ms: When, in milliseconds since the Unix epoch.
+        changes: Fields with their values before and after.
+        forced: Whether the operator overrode a refusal.
+    """
+
+    service: str
+    team: str
+    version: int
+    action: Action
+    plan_id: str
+    operator: str
+    wall_ms: int
+    changes: tuple[FieldChange, ...]
+    forced: bool = False
+
+
+@attrs.frozen
+class Entry:
+    """A service in a group's document.
+
+    Attributes:
+        version: Number of confirmed changes of this name.
+        sequence: Sequence of the document when it last changed.
+        service: The content, or None when it is removed.
+        previous: The content before the last change, for undo.
+    """
+
+    version: int
+    sequence: int
+    service: model.Service | None
+    previous: model.Service | None = None
+
+    def versioned(self) -> model.VersionedService:
+        """Returns the content with its version."""
+        return model.VersionedService(self.version, self.service)
+
+
+@attrs.frozen
+class Document:
+    """Content of a group's key.
+
+    Attributes:
+        sequence: Number of confirmed changes in the group.
+        entries: Services by name, removed ones included.
+        records: Audit records that are not yet archived, oldest first.
+        segments: Number of segments of archived audit records.
+        format: Version of this format.
+    """
+
+    sequence: int = 0
+    entries: Mapping[str, Entry] = attrs.field(factory=dict)
+    records: tuple[AuditRecord, ...] = ()
+    segments: int = 0
+    format: int = FORMAT
+
+    def entry(self, name: str) -> Entry:
+        """Returns a service's entry; version 0 if it never existed."""
+        return self.entries.get(name) or Entry(0, 0, None)
+
+
+@attrs.frozen
+class Segment:
+    """Archived audit records, oldest first."""
+
+    records: tuple[AuditRecord, ...]
+    format: int = FORMAT
+
+
+CONVERTER = cattrs_cbor2.make_converter(forbid_extra_keys=True)
+
+
+def encode(value: Document | Segment) -> bytes:
+    """Returns a document or segment as CBOR."""
+    return CONVERTER.dumps(value)
+
+
+def decode_document(data: bytes) -> Document:
+    """Returns the document in ``data``.
+
+    Raises:
+        DecodeError: The bytes are not a document of a known format.
+    """
+    document = _decode(data, Document)
+    _require_format(document.format)
+    for name, entry in document.entries.items():
+        if entry.service is not None and entry.service.name != name:
+            raise exceptions.DecodeError(f"service {name!r} has another name")
+    return document
+
+
+def decode_segment(data: bytes) -> Segment:
+    """Returns the audit records in ``data``.
+
+    Raises:
+        DecodeError: The bytes are not a segment of a known format.
+    """
+    segment = _decode(data, Segment)
+    _require_format(segment.format)
+    return segment
+
+
+def _decode(data: bytes, data_type: type[Decoded]) -> Decoded:
+    try:
+        return CONVERTER.loads(data, data_type)
+    except cattrs.BaseValidationError as error:
+        lines = "; ".join(cattrs.transform_error(error))
+        raise exceptions.DecodeError(f"bad document: {lines}") from error
+    except Exception as error:
+        # The CBOR library raises many types on hostile bytes.
+        raise exceptions.DecodeError(f"bad CBOR: {error}") from error
+
+
+def _require_format(found: int) -> None:
+    if found != FORMAT:
+        raise exceptions.DecodeError(
+            f"format {found} is unknown; this program reads {FORMAT}"
+        )
--- a/src/lovageyoke/config/model.py
+++ b/src/lovageyoke/config/model.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from lovageyoke.schema import checks
+
 DEFAULT_SLOTS = 6
 DEFAULT_CONNECTIONS = 240
 DEFAULT_DEADLINE_MS = 10_000
@@ -16,6 +18,36 @@
 DEFAULT_RETRY_RATIO = 0.1
 DEFAULT_PROBES_PER_S = 20.0
 
+MAX_PORT = 65_535
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 100_000
+MAX_DURATION_MS = 24 * 3_600 * 1_000
+MIN_RETENTION_MS = 1_000
+MAX_RETENTION_MS = 30 * 24 * 3_600 * 1_000
+MAX_QUEUE = 100_000
+MAX_BODY_BYTES = 1_000_000_000
+MAX_PROBES_PER_S = 100_000.0
+MAX_RETRY_RATIO = 1.0
+
+HOST = checks.Matches(
+    r"(?=.{1,253}$)[a-z0-9-]{1,63}(\.[a-z0-9-]{1,63})*",
+    "a host name in lower case without a port",
+)
+PATH_PREFIX = checks.Matches(
+    r"/(?!(.*/)?\.\.(/|$))[!\"$->@-~]{0,1023}",
+    "a path that starts with '/', without '?', '#', '..' or spaces",
+)
+METHOD = checks.Matches(
+    "GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS",
+    "one of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS",
+)
+HEADER = checks.Matches(
+    r"[a-z0-9!#$%&'*+.^_`|~-]{1,100}", "a header name in lower case"
+)
+BODY_FIELD = checks.Matches(
+    r"[^\x00-\x1f\x7f\ud800-\udfff]{1,100}", "the name of a body field"
+)
+
 
 class MissingIdentity(enum.Enum):
     """What happens to an unrepeatable request without an identity."""
@@ -45,12 +77,16 @@
         draining: Whether the operator wants no new work to be sent to it.
     """
 
-    upstream_id: str
-    address: str
-    port: int
-    failure_domain: str
-    slots: int = DEFAULT_SLOTS
-    connections: int = DEFAULT_CONNECTIONS
+    upstream_id: str = checks.checked(checks.NAME)
+    address: str = checks.checked(checks.IpAddress())
+    port: int = checks.checked(checks.Between(1, MAX_PORT))
+    failure_domain: str = checks.checked(checks.NAME)
+    slots: int = checks.checked(
+        checks.Between(1, MAX_SLOTS), default=DEFAULT_SLOTS
+    )
+    connections: int = checks.checked(
+        checks.Between(1, MAX_CONNECTIONS), default=DEFAULT_CONNECTIONS
+    )
     draining: bool = False
 
 
@@ -68,12 +104,19 @@
         retention_ms: How long an outcome is remembered, in milliseconds.
     """
 
-    methods: tuple[str, ...]
-    path_prefix: str = "/"
-    identity_header: str = "idempotency-key"
-    identity_fields: tuple[str, ...] = ()
+    methods: tuple[str, ...] = checks.checked(checks.Each(METHOD))
+    path_prefix: str = checks.checked(PATH_PREFIX, default="/")
+    identity_header: str = checks.checked(
+        checks.Optional(HEADER), default="idempotency-key"
+    )
+    identity_fields: tuple[str, ...] = checks.checked(
+        checks.Each(BODY_FIELD), default=()
+    )
     missing: MissingIdentity = MissingIdentity.REFUSE
-    retention_ms: int = DEFAULT_RETENTION_MS
+    retention_ms: int = checks.checked(
+        checks.Between(MIN_RETENTION_MS, MAX_RETENTION_MS),
+        default=DEFAULT_RETENTION_MS,
+    )
 
 
 @attrs.frozen
@@ -89,7 +132,9 @@
 
     policy: str = "pool"
     preset: Preset = Preset.TAIL_LATENCY
-    probes_per_s: float = DEFAULT_PROBES_PER_S
+    probes_per_s: float = checks.checked(
+        checks.Between(0, MAX_PROBES_PER_S), default=DEFAULT_PROBES_PER_S
+    )
 
 
 @attrs.frozen
@@ -104,11 +149,21 @@
         retry_ratio: Retries and hedges allowed for each request.
     """
 
-    deadline_ms: int = DEFAULT_DEADLINE_MS
-    max_queue: int = DEFAULT_MAX_QUEUE
-    queue_timeout_ms: int = DEFAULT_QUEUE_TIMEOUT_MS
-    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
-    retry_ratio: float = DEFAULT_RETRY_RATIO
+    deadline_ms: int = checks.checked(
+        checks.Between(1, MAX_DURATION_MS), default=DEFAULT_DEADLINE_MS
+    )
+    max_queue: int = checks.checked(
+        checks.Between(0, MAX_QUEUE), default=DEFAULT_MAX_QUEUE
+    )
+    queue_timeout_ms: int = checks.checked(
+        checks.Between(0, MAX_DURATION_MS), default=DEFAULT_QUEUE_TIMEOUT_MS
+    )
+    max_body_bytes: int = checks.checked(
+        checks.Between(0, MAX_BODY_BYTES), default=DEFAULT_MAX_BODY_BYTES
+    )
+    retry_ratio: float = checks.checked(
+        checks.Between(0, MAX_RETRY_RATIO), default=DEFAULT_RETRY_RATIO
+    )
 
 
 @attrs.frozen
@@ -126,10 +181,12 @@
         limits: Bounds on requests.
     """
 
-    name: str
-    team: str
-    hosts: tuple[str, ...] = ()
-    path_prefixes: tuple[str, ...] = ()
+    name: str = checks.checked(checks.NAME)
+    team: str = checks.checked(checks.NAME)
+    hosts: tuple[str, ...] = checks.checked(checks.Each(HOST), default=())
+    path_prefixes: tuple[str, ...] = checks.checked(
+        checks.Each(PATH_PREFIX), default=()
+    )
     upstreams: tuple[Upstream, ...] = ()
     unrepeatable: tuple[UnrepeatableRule, ...] = ()
     routing: Routing = attrs.field(factory=Routing)
--- a/src/lovageyoke/schema/structure.py
+++ b/src/lovageyoke/schema/structure.py
@@ -86,7 +86,8 @@
         return
     if isinstance(error, cattrs.ForbiddenExtraKeysError):
         for key in sorted(error.extra_fields):
-            yield f"{_join(path, key)}: unknown key"
+            known = ", ".join(each.name for each in attrs.fields(error.cl))
+            yield f"{_join(path, key)}: unknown key; known keys are {known}"
         return
     if isinstance(error, KeyError):
         yield f"{path.lstrip('.')}: is missing"
