--- /dev/null
+++ b/src/lovageyoke/caller/api.py
@@ -0,0 +1,28 @@
+"""Interfaces of what the caller application needs from its surroundings."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import MutableMapping
+from typing import Any
+
+from lovageyoke.config import model
+from lovageyoke.routing import api as routing_api
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+PolicyFactory = Callable[[model.Service], routing_api.RoutingPolicy]
+
+
+class ServiceDirectory(abc.ABC):
+    """The services in force."""
+
+    @abc.abstractmethod
+    def service_for(
+        self, host: str, path: str
+    ) -> model.VersionedService | None:
+        """Returns the service that a host and path select, None if none."""
--- /dev/null
+++ b/src/lovageyoke/caller/app.py
@@ -0,0 +1,125 @@
+"""The ASGI application that callers talk to."""
+
+from __future__ import annotations
+
+import anyio
+from loguru import logger
+
+from lovageyoke.caller import api
+from lovageyoke.caller import call as call_module
+from lovageyoke.caller import claimed
+from lovageyoke.caller import dispatch
+from lovageyoke.caller import forward
+from lovageyoke.caller import intake
+from lovageyoke.caller import problem
+from lovageyoke.caller import routes
+from lovageyoke.clock import api as clock_api
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.idempotency import api as claim_api
+from lovageyoke.transport import api as transport_api
+
+Kind = kinds.ErrorKind
+
+
+class App:
+    """Serves requests of callers.
+
+    Attributes:
+        routes: Routing state of each service.
+    """
+
+    def __init__(
+        self,
+        services: api.ServiceDirectory,
+        policies: api.PolicyFactory,
+        transport: transport_api.Transport,
+        claims: claim_api.ClaimLog,
+        clock: clock_api.Clock,
+    ) -> None:
+        self.routes = routes.Routes(policies, clock)
+        self._intake = intake.Intake(services, self.routes, clock)
+        dispatcher = dispatch.Dispatcher(transport, clock)
+        self._forwarder = forward.Forwarder(dispatcher)
+        self._claimed = claimed.ClaimedForwarder(dispatcher, claims)
+
+    async def __call__(
+        self, scope: api.Scope, receive: api.Receive, send: api.Send
+    ) -> None:
+        """Serves one ASGI connection scope."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._serve(scope, receive, send)
+        else:
+            await send({"type": "websocket.close"})
+
+    async def _serve(
+        self, scope: api.Scope, receive: api.Receive, send: api.Send
+    ) -> None:
+        call: call_module.Call | None = None
+        try:
+            call = await self._intake.read(scope, receive)
+            await self._forward(call, receive, send)
+        except forward.AnswerAbortedError as error:
+            # Returning before the answer's end makes the server close the
+            # connection, so that the caller sees that it isn't whole.
+            logger.info("answer aborted: {}", error.detail)
+        except exceptions.LovageyokeError as error:
+            if error.kind is not Kind.CALLER_GONE:
+                may_have_run = call is not None and call.may_have_run
+                await problem.send(error, may_have_run, send)
+
+    async def _forward(
+        self, call: call_module.Call, receive: api.Receive, send: api.Send
+    ) -> None:
+        claim = claimed.claim_of(call)
+        if claim is not None:
+            await self._claimed.forward(call, claim, send)
+        elif not call.request.repeatable:
+            with anyio.CancelScope(shield=True):
+                await self._forwarder.forward(call, send)
+        else:
+            await self._forward_watched(call, receive, send)
+
+    async def _forward_watched(
+        self, call: call_module.Call, receive: api.Receive, send: api.Send
+    ) -> None:
+        """Forwards a repeatable request until the caller leaves."""
+        failure: exceptions.LovageyokeError | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
+            try:
+                await self._forwarder.forward(call, send)
+            except exceptions.LovageyokeError as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+
+async def _cancel_when_gone(
+    receive: api.Receive, scope: anyio.CancelScope
+) -> None:
+    message = await receive()
+    while message["type"] != "http.disconnect":
+        message = await receive()
+    scope.cancel()
+
+
+async def _serve_lifespan(receive: api.Receive, send: api.Send) -> None:
+    await receive()
+    await send({"type": "lifespan.startup.complete"})
+    await receive()
+    await send({"type": "lifespan.shutdown.complete"})
+
+
+def create(
+    services: api.ServiceDirectory,
+    policies: api.PolicyFactory,
+    transport: transport_api.Transport,
+    claims: claim_api.ClaimLog,
+    clock: clock_api.Clock,
+) -> App:
+    """Returns the application that callers talk to."""
+    return App(services, policies, transport, claims, clock)
--- /dev/null
+++ b/src/lovageyoke/caller/body.py
@@ -0,0 +1,45 @@
+"""Reading of request bodies."""
+
+from __future__ import annotations
+
+from lovageyoke.caller import api
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+
+Kind = kinds.ErrorKind
+
+
+def check_stated_length(value: bytes, most_bytes: int) -> None:
+    """Refuses a body whose Content-Length exceeds the limit.
+
+    Raises:
+        CallerError: Kind BODY_TOO_LARGE.
+    """
+    if value.isdigit() and int(value) > most_bytes:
+        raise exceptions.CallerError(
+            f"the body may have at most {most_bytes} bytes",
+            Kind.BODY_TOO_LARGE,
+        )
+
+
+async def read(receive: api.Receive, most_bytes: int) -> bytes:
+    """Returns the whole body.
+
+    Raises:
+        CallerError: Kind BODY_TOO_LARGE or CALLER_GONE.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise exceptions.CallerError(
+                "the caller left before the request was whole",
+                Kind.CALLER_GONE,
+            )
+        part = message.get("body", b"")
+        size += len(part)
+        check_stated_length(str(size).encode(), most_bytes)
+        parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts)
--- /dev/null
+++ b/src/lovageyoke/caller/headers.py
@@ -0,0 +1,88 @@
+"""Headers that a request or a response gains and loses on its way."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lovageyoke.transport import api
+
+DEADLINE_HEADER = b"lovageyoke-deadline-ms"
+OUTCOME_HEADER = b"lovageyoke-outcome"
+LOAD_HEADER = b"lovageyoke-load"
+SHED_HEADER = b"lovageyoke-shed"
+
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+_REQUEST_DROPPED = _HOP_BY_HOP | {
+    b"content-length",
+    b"expect",
+    b"forwarded",
+    b"http2-settings",
+    DEADLINE_HEADER,
+}
+_RESPONSE_DROPPED = _HOP_BY_HOP | {LOAD_HEADER, SHED_HEADER, OUTCOME_HEADER}
+_LENGTH_EXPECTED = frozenset((b"POST", b"PUT", b"PATCH"))
+
+
+def value_of(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
+    """Returns the first value of a header, b"" when it is absent."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return b""
+
+
+def _named_by_connection(headers: Iterable[tuple[bytes, bytes]]) -> set[bytes]:
+    return {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+
+
+def _keep(
+    headers: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
+) -> list[tuple[bytes, bytes]]:
+    headers = list(headers)
+    named = _named_by_connection(headers)
+    # A sender may not remove the framing or the host through Connection.
+    named -= {b"host", b"content-length"}
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in dropped and name not in named
+    ]
+
+
+def to_upstream(
+    scope_headers: Iterable[tuple[bytes, bytes]],
+    method: bytes,
+    body: bytes,
+    client: str,
+) -> api.Headers:
+    """Returns the headers of a request to an upstream."""
+    scope_headers = list(scope_headers)
+    headers = _keep(scope_headers, _REQUEST_DROPPED)
+    if body or method in _LENGTH_EXPECTED:
+        headers.append((b"content-length", str(len(body)).encode()))
+    earlier = [v for name, v in scope_headers if name == b"forwarded"]
+    hop = f'for="[{client}]"' if ":" in client else f"for={client}"
+    headers.append((b"forwarded", b", ".join([*earlier, hop.encode()])))
+    return tuple(headers)
+
+
+def to_caller(headers: api.Headers) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of a response to a caller."""
+    return _keep(headers, _RESPONSE_DROPPED)
--- /dev/null
+++ b/src/lovageyoke/caller/intake.py
@@ -0,0 +1,131 @@
+"""Turns an ASGI request into a call."""
+
+from __future__ import annotations
+
+from lovageyoke.caller import api
+from lovageyoke.caller import body as body_module
+from lovageyoke.caller import call as call_module
+from lovageyoke.caller import headers
+from lovageyoke.caller import routes
+from lovageyoke.clock import api as clock_api
+from lovageyoke.config import model
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.idempotency import identity
+from lovageyoke.transport import api as transport_api
+
+Kind = kinds.ErrorKind
+
+_IDEMPOTENT_METHODS = frozenset(
+    (b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE", b"TRACE")
+)
+
+
+class Intake:
+    """Reads requests of callers and finds their services."""
+
+    def __init__(
+        self,
+        services: api.ServiceDirectory,
+        routes_: routes.Routes,
+        clock: clock_api.Clock,
+    ) -> None:
+        self._services = services
+        self._routes = routes_
+        self._clock = clock
+
+    async def read(
+        self, scope: api.Scope, receive: api.Receive
+    ) -> call_module.Call:
+        """Returns the call of a request.
+
+        Raises:
+            CallerError: The request is refused.
+        """
+        start_ms = self._clock.now_ms()
+        _check_form(scope)
+        route = self._find_route(scope)
+        limits = route.service.limits
+        scope_headers = scope["headers"]
+        body_module.check_stated_length(
+            headers.value_of(scope_headers, b"content-length"),
+            limits.max_body_bytes,
+        )
+        body = await body_module.read(receive, limits.max_body_bytes)
+        allowed_ms = _allowed_ms(scope_headers, limits)
+        request = _request_of(scope, body)
+        identified = _identify(route.service, scope, request)
+        if identified is not None:
+            request = _unrepeatable(request)
+        return call_module.Call(
+            route, request, identified, start_ms + allowed_ms
+        )
+
+    def _find_route(self, scope: api.Scope) -> routes.Route:
+        host = headers.value_of(scope["headers"], b"host").decode("latin-1")
+        versioned = self._services.service_for(host, scope["path"])
+        route = None if versioned is None else self._routes.route(versioned)
+        if route is None:
+            raise exceptions.CallerError(
+                "no service has this host or path", Kind.UNKNOWN_SERVICE
+            )
+        return route
+
+
+def _check_form(scope: api.Scope) -> None:
+    if scope["http_version"] not in {"1.0", "1.1"}:
+        raise exceptions.CallerError("only HTTP/1.1 is served")
+    if not scope["raw_path"].startswith(b"/"):
+        raise exceptions.CallerError("the request target must be a path")
+
+
+def _allowed_ms(
+    scope_headers: list[tuple[bytes, bytes]], limits: model.Limits
+) -> float:
+    value = headers.value_of(scope_headers, headers.DEADLINE_HEADER)
+    if value == b"":
+        return limits.deadline_ms
+    if not value.isdigit() or len(value) > 9:
+        raise exceptions.CallerError(
+            f"{headers.DEADLINE_HEADER.decode()} must be a whole number of ms"
+        )
+    return min(int(value), limits.deadline_ms)
+
+
+def _request_of(scope: api.Scope, body: bytes) -> transport_api.Request:
+    method = scope["method"].encode("ascii")
+    target = scope["raw_path"]
+    if scope["query_string"]:
+        target += b"?" + scope["query_string"]
+    client = scope.get("client") or ("unknown", 0)
+    return transport_api.Request(
+        method,
+        target,
+        headers.to_upstream(scope["headers"], method, body, client[0]),
+        body,
+        method in _IDEMPOTENT_METHODS,
+    )
+
+
+def _identify(
+    service: model.Service,
+    scope: api.Scope,
+    request: transport_api.Request,
+) -> identity.Identified | None:
+    if not service.unrepeatable:
+        return None
+    scope_headers = tuple(scope["headers"])
+    return identity.identify(
+        service.name,
+        service.unrepeatable,
+        identity.Request(
+            request.method, request.target, scope_headers, request.body
+        ),
+        identity.credential_of(scope_headers),
+    )
+
+
+def _unrepeatable(request: transport_api.Request) -> transport_api.Request:
+    return transport_api.Request(
+        request.method, request.target, request.headers, request.body, False
+    )
--- /dev/null
+++ b/src/lovageyoke/caller/server.py
@@ -0,0 +1,100 @@
+"""Serves the caller application over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import socket
+from typing import Any
+from typing import cast
+
+import attrs
+import hypercorn.asyncio
+import hypercorn.config
+
+from lovageyoke.caller import api
+from lovageyoke.transport import sockets
+
+BACKLOG = 1_024
+KEEP_ALIVE_S = 75.0
+# Callers keep their connections; the number of requests on one has no bound.
+MAX_REQUESTS_PER_CONNECTION = 1 << 60
+
+
+@attrs.frozen
+class ServerOptions:
+    """How a server treats its connections.
+
+    Attributes:
+        keep_alive_s: Seconds that a connection may be idle, or may take to
+            send a request head.
+        max_head_bytes: Size of a request head.
+        graceful_s: Seconds that requests in flight may take to complete when
+            the server stops.
+        certificate: File of the TLS certificate, or "".
+        key: File of the TLS key, or "".
+    """
+
+    keep_alive_s: float = KEEP_ALIVE_S
+    max_head_bytes: int = 32_768
+    graceful_s: float = 3_600.0
+    certificate: str = ""
+    key: str = ""
+
+
+def listen(address: str, port: int) -> socket.socket:
+    """Returns a listening socket; port 0 takes an ephemeral port.
+
+    Connections inherit its liveness options.
+    """
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sockets.set_liveness_options(sock)
+    sock.bind((address, port))
+    sock.listen(BACKLOG)
+    return sock
+
+
+def configure(
+    listener: socket.socket, options: ServerOptions
+) -> hypercorn.config.Config:
+    """Returns the server library's configuration."""
+    config = hypercorn.config.Config()
+    config.bind = [f"fd://{listener.fileno()}"]
+    config.backlog = BACKLOG
+    config.accesslog = None
+    config.errorlog = None
+    config.alpn_protocols = ["http/1.1"]
+    config.graceful_timeout = options.graceful_s
+    config.h11_max_incomplete_size = options.max_head_bytes
+    config.include_date_header = False
+    config.include_server_header = False
+    config.keep_alive_timeout = options.keep_alive_s
+    config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
+    if options.certificate:
+        config.certfile = options.certificate
+        config.keyfile = options.key
+    return config
+
+
+async def serve(
+    app: Callable[[api.Scope, api.Receive, api.Send], Awaitable[None]],
+    listener: socket.socket,
+    until: Callable[[], Awaitable[None]],
+    options: ServerOptions | None = None,
+) -> None:
+    """Serves until ``until`` returns and requests in flight have ended.
+
+    Args:
+        app: The ASGI application.
+        listener: A listening socket; it is closed at the end.
+        until: Returns when the server has to stop.
+        options: How connections are treated.
+    """
+    config = configure(listener, options or ServerOptions())
+    # The server library takes ownership of the file descriptor.
+    listener.detach()
+    await hypercorn.asyncio.serve(
+        cast("Any", app), config, shutdown_trigger=until
+    )
--- a/src/lovageyoke/transport/api.py
+++ b/src/lovageyoke/transport/api.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import AsyncIterator
 
 import attrs
 
@@ -61,14 +60,16 @@
     """One request and its response, on a connection that it owns.
 
     Attributes:
+        target: The upstream.
         head: Status and headers of the response.
     """
 
+    target: Target
     head: ResponseHead
 
     @abc.abstractmethod
-    def body(self) -> AsyncIterator[bytes]:
-        """Yields the response body.
+    async def read(self) -> bytes:
+        """Returns the next part of the response body, b"" at its end.
 
         Raises:
             UpstreamError: Kind RESPONSE_TRUNCATED when the body ends early,
@@ -76,7 +77,7 @@
         """
 
     @abc.abstractmethod
-    async def aclose(self) -> None:
+    def close(self) -> None:
         """Ends the exchange; reuses the connection only if it is clean."""
 
 
@@ -97,8 +98,14 @@
         Raises:
             UpstreamError: Its kind tells whether any byte of the request was
                 written: CONNECT_FAILED and NOTHING_WRITTEN mean none was.
+            AdmissionError: This entry's share of the upstream's connections
+                is in use.
         """
 
     @abc.abstractmethod
-    async def aclose(self) -> None:
-        """Closes all connections."""
+    async def run(self) -> None:
+        """Watches deadlines and idle connections until it is cancelled."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Closes all idle connections."""
--- /dev/null
+++ b/src/lovageyoke/transport/h11_connection.py
@@ -0,0 +1,167 @@
+"""One connection to an upstream, parsed by h11."""
+
+from __future__ import annotations
+
+import socket
+
+import h11
+
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.transport import api
+from lovageyoke.transport import sockets
+
+Kind = kinds.ErrorKind
+
+MAX_HEAD_BYTES = 65_536
+_FRAMING = (b"content-length", b"transfer-encoding")
+_BODILESS_STATUSES = (204, 304)
+
+
+class H11Connection:
+    """A connection that one exchange at a time owns.
+
+    Attributes:
+        target: The upstream it leads to.
+        sock: Its socket.
+        opened_ms: When it was opened.
+        last_heard_ms: When the last byte arrived, or when it was opened.
+        condemned: Whether it must not be used for another exchange.
+    """
+
+    def __init__(
+        self, target: api.Target, sock: socket.socket, now_ms: float
+    ) -> None:
+        self.target = target
+        self.sock = sock
+        self.opened_ms = now_ms
+        self.last_heard_ms = now_ms
+        self.condemned = False
+        self._method = b""
+        self._state = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+    async def send(self, request: api.Request) -> None:
+        """Writes a whole request.
+
+        Raises:
+            UpstreamError: Kind NOTHING_WRITTEN or UPSTREAM_RESET.
+        """
+        self._method = request.method
+        await sockets.send_all(self.sock, self._encode(request))
+
+    def _encode(self, request: api.Request) -> bytes:
+        try:
+            parts = [
+                self._state.send(
+                    h11.Request(
+                        method=request.method,
+                        target=request.target,
+                        headers=list(request.headers),
+                    )
+                )
+            ]
+            if request.body:
+                parts.append(self._state.send(h11.Data(data=request.body)))
+            parts.append(self._state.send(h11.EndOfMessage()))
+        except h11.LocalProtocolError as error:
+            raise exceptions.CallerError(str(error)) from error
+        return b"".join(part for part in parts if part)
+
+    async def read_head(self) -> api.ResponseHead:
+        """Returns the head of the final response.
+
+        Raises:
+            UpstreamError: Kind UPSTREAM_RESET or UPSTREAM_PROTOCOL.
+        """
+        while True:
+            event = await self._next_event(Kind.UPSTREAM_RESET)
+            if isinstance(event, h11.Response):
+                return self._check_framing(
+                    api.ResponseHead(
+                        event.status_code, tuple(event.headers)
+                    )
+                )
+            if not isinstance(event, h11.InformationalResponse):
+                raise exceptions.UpstreamError(
+                    "the connection closed before a response",
+                    Kind.UPSTREAM_RESET,
+                )
+            if event.status_code == 101:
+                raise exceptions.UpstreamError(
+                    "unexpected protocol switch", Kind.UPSTREAM_PROTOCOL
+                )
+
+    def _check_framing(self, head: api.ResponseHead) -> api.ResponseHead:
+        # A body that ends with the connection can't be told from a truncated
+        # one.
+        bodiless = self._method == b"HEAD" or head.status in _BODILESS_STATUSES
+        framed = any(name in _FRAMING for name, _ in head.headers)
+        if bodiless or framed:
+            return head
+        raise exceptions.UpstreamError(
+            "the response states no length", Kind.UPSTREAM_PROTOCOL
+        )
+
+    async def read_body(self) -> bytes:
+        """Returns the next part of the body, b"" at its end.
+
+        Raises:
+            UpstreamError: Kind RESPONSE_TRUNCATED.
+        """
+        while True:
+            event = await self._next_event(Kind.RESPONSE_TRUNCATED)
+            if isinstance(event, h11.Data):
+                if event.data:
+                    return bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return b""
+            else:
+                raise exceptions.UpstreamError(
+                    "the connection closed inside a response",
+                    Kind.RESPONSE_TRUNCATED,
+                )
+
+    async def _next_event(self, lost: kinds.ErrorKind) -> h11.Event | type:
+        try:
+            event = self._state.next_event()
+            while event is h11.NEED_DATA:
+                self._state.receive_data(await sockets.receive(self.sock))
+                event = self._state.next_event()
+        except h11.RemoteProtocolError as error:
+            kind = Kind.UPSTREAM_PROTOCOL
+            if self._state.trailing_data[1]:
+                kind = lost
+            raise exceptions.UpstreamError(str(error), kind) from error
+        except OSError as error:
+            raise exceptions.UpstreamError(
+                f"read failed: {error.strerror}", lost
+            ) from error
+        return event
+
+    def recycle(self, now_ms: float) -> bool:
+        """Prepares for another exchange.
+
+        Returns:
+            Whether the connection may be used again.
+        """
+        if self.condemned or self._state.trailing_data[0]:
+            return False
+        done = h11.DONE
+        if self._state.our_state is not done:
+            return False
+        if self._state.their_state is not done:
+            return False
+        self._state.start_next_cycle()
+        self.last_heard_ms = now_ms
+        return True
+
+    def is_quiet(self) -> bool:
+        """Returns whether the idle connection is open and has no bytes."""
+        return sockets.is_quiet(self.sock)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self.condemned = True
+        self.sock.close()
--- /dev/null
+++ b/src/lovageyoke/transport/pool.py
@@ -0,0 +1,262 @@
+"""Transport over pooled connections."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from typing import TypeVar
+
+import anyio
+import attrs
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.transport import api
+from lovageyoke.transport import h11_connection
+from lovageyoke.transport import latency
+from lovageyoke.transport import sockets
+from lovageyoke.transport import timers
+
+Kind = kinds.ErrorKind
+T = TypeVar("T")
+
+MAX_IDLE_MS = 4_000.0
+RECENT_MS = 1_000.0
+SWEEP_MS = 1_000.0
+CONNECT_TIMEOUT_MS = 1_000.0
+BODY_SILENCE_MS = 5_000.0
+CONNECTION_SHARE = 15
+
+
+@attrs.define
+class TargetState:
+    """Connections to one upstream.
+
+    Attributes:
+        idle: Idle connections, the most recently used last.
+        in_use: Connections that exchanges own.
+        opening: Connections that are being opened.
+        estimate: Time that the upstream takes to answer.
+    """
+
+    idle: list[h11_connection.H11Connection] = attrs.field(factory=list)
+    in_use: set[h11_connection.H11Connection] = attrs.field(factory=set)
+    opening: int = 0
+    estimate: latency.LatencyEstimate = attrs.field(
+        factory=latency.LatencyEstimate
+    )
+
+    def total(self) -> int:
+        """Returns the number of connections."""
+        return len(self.idle) + len(self.in_use) + self.opening
+
+
+class PooledTransport(api.Transport):
+    """Sends each request on a connection that nothing else uses.
+
+    Attributes:
+        connection_share: Connections that this entry may hold to each
+            upstream.
+    """
+
+    def __init__(
+        self,
+        clock: clock_api.Clock,
+        connection_share: int = CONNECTION_SHARE,
+    ) -> None:
+        self.connection_share = connection_share
+        self._clock = clock
+        self._timers = timers.Timers(clock)
+        self._states: dict[api.Target, TargetState] = {}
+
+    async def run(self) -> None:
+        """Watches deadlines and idle connections until it is cancelled."""
+        self._sweep()
+        await self._timers.run()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for state in self._states.values():
+            while state.idle:
+                state.idle.pop().close()
+
+    async def send(
+        self, target: api.Target, request: api.Request, deadline_ms: float
+    ) -> api.Exchange:
+        """Sends a request and waits for the head of its response."""
+        state = self._states.setdefault(target, TargetState())
+        connection = self._take_idle(state, request.repeatable)
+        if connection is None:
+            connection = await self._open(target, state, deadline_ms)
+        state.in_use.add(connection)
+        exchange = PooledExchange(self, state, connection)
+        try:
+            exchange.head = await self._converse(
+                state, connection, request, deadline_ms
+            )
+        except BaseException:
+            exchange.close()
+            raise
+        return exchange
+
+    def _take_idle(
+        self, state: TargetState, repeatable: bool
+    ) -> h11_connection.H11Connection | None:
+        now_ms = self._clock.now_ms()
+        most_ms = MAX_IDLE_MS if repeatable else RECENT_MS
+        while state.idle:
+            connection = state.idle[-1]
+            if now_ms - connection.last_heard_ms > most_ms:
+                return None
+            state.idle.pop()
+            if connection.is_quiet():
+                return connection
+            connection.close()
+        return None
+
+    async def _open(
+        self, target: api.Target, state: TargetState, deadline_ms: float
+    ) -> h11_connection.H11Connection:
+        self._make_room(state)
+        now_ms = self._clock.now_ms()
+        limit_ms = min(deadline_ms, now_ms + CONNECT_TIMEOUT_MS)
+        state.opening += 1
+        try:
+            sock = await self.before(
+                limit_ms,
+                sockets.connect(target.address, target.port),
+                exceptions.UpstreamError(
+                    "the connection was not opened in time",
+                    Kind.CONNECT_FAILED,
+                ),
+            )
+        finally:
+            state.opening -= 1
+        return h11_connection.H11Connection(
+            target, sock, self._clock.now_ms()
+        )
+
+    def _make_room(self, state: TargetState) -> None:
+        if state.total() < self.connection_share:
+            return
+        if not state.idle:
+            raise exceptions.AdmissionError(
+                "the upstream's connections are all in use"
+            )
+        state.idle.pop(0).close()
+
+    async def _converse(
+        self,
+        state: TargetState,
+        connection: h11_connection.H11Connection,
+        request: api.Request,
+        deadline_ms: float,
+    ) -> api.ResponseHead:
+        start_ms = self._clock.now_ms()
+        limit_ms = deadline_ms
+        error = exceptions.UpstreamError(
+            "no response before the deadline", Kind.DEADLINE_AFTER_DISPATCH
+        )
+        silent_ms = start_ms + state.estimate.silence_bound_ms()
+        if request.repeatable and silent_ms < deadline_ms:
+            limit_ms = silent_ms
+            error = exceptions.UpstreamError(
+                "the connection shows no sign of life", Kind.UPSTREAM_SILENT
+            )
+        try:
+            head = await self.before(
+                limit_ms, _send_and_read_head(connection, request), error
+            )
+        except exceptions.UpstreamError as raised:
+            if raised.kind is Kind.UPSTREAM_SILENT:
+                self._condemn(state)
+            raise
+        state.estimate.add(self._clock.now_ms() - start_ms)
+        return head
+
+    def _condemn(self, state: TargetState) -> None:
+        while state.idle:
+            state.idle.pop().close()
+        for connection in state.in_use:
+            connection.condemned = True
+
+    async def before(
+        self,
+        limit_ms: float,
+        operation: Awaitable[T],
+        error: exceptions.LovageyokeError,
+    ) -> T:
+        """Returns the operation's result; raises ``error`` at the limit."""
+        with anyio.CancelScope() as scope:
+            timer = self._timers.call_at(limit_ms, scope.cancel)
+            try:
+                return await operation
+            finally:
+                timer.cancel()
+        raise error
+
+    def now_ms(self) -> float:
+        """Returns the present time in milliseconds."""
+        return self._clock.now_ms()
+
+    def _sweep(self) -> None:
+        now_ms = self._clock.now_ms()
+        for target, state in list(self._states.items()):
+            self._close_aged(state, now_ms)
+            if not state.total() and state.estimate.mean_ms is None:
+                del self._states[target]
+        self._timers.call_at(now_ms + SWEEP_MS, self._sweep)
+
+    def _close_aged(self, state: TargetState, now_ms: float) -> None:
+        oldest_ms = now_ms - MAX_IDLE_MS
+        while state.idle and state.idle[0].last_heard_ms < oldest_ms:
+            state.idle.pop(0).close()
+
+
+async def _send_and_read_head(
+    connection: h11_connection.H11Connection, request: api.Request
+) -> api.ResponseHead:
+    await connection.send(request)
+    return await connection.read_head()
+
+
+class PooledExchange(api.Exchange):
+    """An exchange on a pooled connection."""
+
+    def __init__(
+        self,
+        transport: PooledTransport,
+        state: TargetState,
+        connection: h11_connection.H11Connection,
+    ) -> None:
+        self.target = connection.target
+        self._transport = transport
+        self._state = state
+        self._connection: h11_connection.H11Connection | None = connection
+
+    async def read(self) -> bytes:
+        """Returns the next part of the response body, b"" at its end."""
+        if self._connection is None:
+            return b""
+        limit_ms = self._transport.now_ms() + BODY_SILENCE_MS
+        data = await self._transport.before(
+            limit_ms,
+            self._connection.read_body(),
+            exceptions.UpstreamError(
+                "the response stalled", Kind.UPSTREAM_SILENT
+            ),
+        )
+        if not data:
+            self.close()
+        return data
+
+    def close(self) -> None:
+        """Ends the exchange; reuses the connection only if it is clean."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        self._state.in_use.discard(connection)
+        if connection.recycle(self._transport.now_ms()):
+            self._state.idle.append(connection)
+        else:
+            connection.close()
--- /dev/null
+++ b/src/lovageyoke/transport/timers.py
@@ -0,0 +1,73 @@
+"""Timers of many exchanges, kept by one task."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+import itertools
+
+import anyio
+
+from lovageyoke.clock import api as clock_api
+
+
+class Timer:
+    """A callback that is due at a time.
+
+    Attributes:
+        due_ms: When it is due.
+        callback: What is called; None once it was called or cancelled.
+    """
+
+    __slots__ = ("callback", "due_ms")
+
+    def __init__(self, due_ms: float, callback: Callable[[], None]) -> None:
+        self.due_ms = due_ms
+        self.callback: Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        """Drops the callback."""
+        self.callback = None
+
+
+class Timers:
+    """Calls callbacks when they are due, from a task that runs ``run``."""
+
+    def __init__(self, clock: clock_api.Clock) -> None:
+        self._clock = clock
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._order = itertools.count()
+        self._waiting: anyio.CancelScope | None = None
+
+    def call_at(self, due_ms: float, callback: Callable[[], None]) -> Timer:
+        """Arranges for a call at a monotonic time in milliseconds."""
+        timer = Timer(due_ms, callback)
+        entry = (due_ms, next(self._order), timer)
+        heapq.heappush(self._heap, entry)
+        if self._heap[0] is entry and self._waiting is not None:
+            self._waiting.cancel()
+        return timer
+
+    async def run(self) -> None:
+        """Calls callbacks until it is cancelled."""
+        while True:
+            self._call_due()
+            with anyio.CancelScope() as self._waiting:
+                await self._wait()
+
+    def _call_due(self) -> None:
+        now_ms = self._clock.now_ms()
+        while self._heap and self._is_over(self._heap[0][2], now_ms):
+            timer = heapq.heappop(self._heap)[2]
+            callback, timer.callback = timer.callback, None
+            if callback is not None:
+                callback()
+
+    def _is_over(self, timer: Timer, now_ms: float) -> bool:
+        return timer.callback is None or timer.due_ms <= now_ms
+
+    async def _wait(self) -> None:
+        if not self._heap:
+            await anyio.sleep_forever()
+        wait_ms = self._heap[0][0] - self._clock.now_ms()
+        await self._clock.sleep_ms(wait_ms)
