Forward requests from callers to upstreams

Cause: no request could pass through an entry VM yet. Change: a transport over non-blocking sockets that knows whether a byte of a request was written, parsed by h11; an ASGI application that finds the service, claims unrepeatable requests, sends them on and streams the answer back; hypercorn on a pre-bound socket. Cancelling hypercorn while it gathers its connections raises InvalidStateError, so it runs shielded and is stopped by its trigger.

--- a/src/lovageyoke/caller/claimed.py
+++ b/src/lovageyoke/caller/claimed.py
@@ -17,7 +17,6 @@
 from lovageyoke.errors import table
 from lovageyoke.idempotency import api as claim_api
 from lovageyoke.routing import api as routing_api
-from lovageyoke.transport import api as transport_api
 
 Kind = kinds.ErrorKind
 Verdict = claim_api.Verdict
@@ -56,9 +55,7 @@
             await send_stored(result.answer, send)
             return
         if result.verdict is not Verdict.GRANTED:
-            kind = _REFUSALS.get(
-                result.verdict, Kind.DUPLICATE_OUTCOME_UNKNOWN
-            )
+            kind = _REFUSALS.get(result.verdict, Kind.DUPLICATE_OUTCOME_UNKNOWN)
             raise exceptions.ClaimError("the identity is taken", kind)
         with anyio.CancelScope(shield=True):
             await self._run(call, claim, send)
@@ -67,24 +64,35 @@
         self, call: call_module.Call, claim: claim_api.Claim, send: api.Send
     ) -> None:
         try:
-            attempt = await self._dispatcher.dispatch(call)
+            answer = await self._dispatcher.dispatch(call)
         except exceptions.LovageyokeError as error:
             await self._settle(call, claim, error)
             raise
-        answer = _Answer(attempt)
+        call.may_have_run = True
         try:
-            await answer.read_start()
-            async with anyio.create_task_group() as tasks:
-                if answer.is_whole:
-                    tasks.start_soon(self._complete, claim, answer.stored())
-                await answer.stream(send)
-        except* exceptions.UpstreamError as group:
-            call.may_have_run = True
-            raise _first(group) from None
+            start, is_whole = await _read_start(answer)
+        except exceptions.UpstreamError:
+            answer.end(routing_api.Result.FAILED)
+            await self._complete(claim, None)
+            raise
+        if is_whole:
+            answer.end_whole()
+            await self._complete_and_send(claim, _stored(answer, start), send)
+            return
+        try:
+            await _stream(answer, start, send)
         finally:
-            attempt.end(answer.result)
-            if not answer.is_whole:
-                await self._complete(claim, None)
+            await self._complete(claim, None)
+
+    async def _complete_and_send(
+        self,
+        claim: claim_api.Claim,
+        stored: claim_api.StoredAnswer,
+        send: api.Send,
+    ) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._complete, claim, stored)
+            await send_stored(stored, send)
 
     async def _settle(
         self,
@@ -110,59 +118,28 @@
             logger.warning("claim completion failed: {}", failure.detail)
 
 
-def _first(
-    group: BaseExceptionGroup[exceptions.UpstreamError],
-) -> exceptions.UpstreamError:
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    assert isinstance(error, exceptions.UpstreamError)
-    return error
-
-
-class _Answer:
-    """An upstream's answer, kept while it is small."""
-
-    def __init__(self, attempt: dispatch.Attempt) -> None:
-        assert attempt.exchange is not None
-        self.exchange: transport_api.Exchange = attempt.exchange
-        self.result = routing_api.Result.FAILED
-        self.is_whole = False
-        self.start = b""
-
-    async def read_start(self) -> None:
-        """Reads up to the size that is kept."""
-        while len(self.start) <= claim_api.MAX_STORED_ANSWER_BYTES:
-            data = await self.exchange.read()
-            if not data:
-                self.is_whole = True
-                self.result = dispatch.result_of(self.exchange.head)
-                return
-            self.start += data
-
-    def stored(self) -> claim_api.StoredAnswer:
-        """Returns the answer for repeats of the request."""
-        head = self.exchange.head
-        return claim_api.StoredAnswer(
-            head.status, tuple(headers.to_caller(head.headers)), self.start
-        )
-
-    async def stream(self, send: api.Send) -> None:
-        """Sends the answer to the caller."""
-        if self.is_whole:
-            await send_stored(self.stored(), send)
-            return
-        await forward.send_head(self.exchange.head, send)
-        await forward.send_part(self.start, send)
-        try:
-            while data := await self.exchange.read():
-                await forward.send_part(data, send)
-        except exceptions.UpstreamError as error:
-            raise forward.AnswerAbortedError(
-                error.detail, error.kind
-            ) from error
-        self.result = dispatch.result_of(self.exchange.head)
-        await forward.send_end(send)
+async def _read_start(answer: dispatch.Answer) -> tuple[bytes, bool]:
+    """Returns up to the size that is kept, and whether that is all."""
+    start = b""
+    while len(start) <= claim_api.MAX_STORED_ANSWER_BYTES:
+        data = await answer.exchange.read()
+        if not data:
+            return start, True
+        start += data
+    return start, False
+
+
+def _stored(answer: dispatch.Answer, body: bytes) -> claim_api.StoredAnswer:
+    kept = tuple(headers.to_caller(answer.head.headers))
+    return claim_api.StoredAnswer(answer.head.status, kept, body)
+
+
+async def _stream(
+    answer: dispatch.Answer, start: bytes, send: api.Send
+) -> None:
+    await forward.send_head(answer.head, send)
+    await forward.send_part(start, send)
+    await forward.stream_rest(answer, send)
 
 
 def claim_of(call: call_module.Call) -> claim_api.Claim | None:
--- a/src/lovageyoke/caller/dispatch.py
+++ b/src/lovageyoke/caller/dispatch.py
@@ -14,7 +14,7 @@
 Kind = kinds.ErrorKind
 
 MAX_ATTEMPTS = 3
-_FAILED_STATUSES = (502, 503, 504)
+_FAILED_STATUSES = frozenset((502, 503, 504))
 
 
 class Attempt:
@@ -22,8 +22,6 @@
 
     Attributes:
         upstream_id: The upstream.
-        exchange: The exchange, once the head of its response has come.
-        latency_ms: Time from dispatch to the head.
     """
 
     def __init__(
@@ -33,38 +31,69 @@
         clock: clock_api.Clock,
     ) -> None:
         self.upstream_id = upstream_id
-        self.exchange: transport_api.Exchange | None = None
-        self.latency_ms = 0.0
         self._policy: routing_api.RoutingPolicy | None = policy
         self._clock = clock
         self._start_ms = clock.now_ms()
         policy.dispatched(upstream_id, self._start_ms)
 
-    def answered(self, exchange: transport_api.Exchange) -> None:
-        """Records that the head of a response has come."""
-        self.exchange = exchange
-        self.latency_ms = self._clock.now_ms() - self._start_ms
+    def elapsed_ms(self) -> float:
+        """Returns the time since dispatch."""
+        return self._clock.now_ms() - self._start_ms
 
-    def end(self, result: routing_api.Result) -> None:
-        """Ends the exchange and tells the policy how it went."""
+    def end(
+        self,
+        result: routing_api.Result,
+        latency_ms: float | None = None,
+        report: routing_api.LoadReport | None = None,
+    ) -> None:
+        """Tells the policy once how the exchange ended."""
         policy, self._policy = self._policy, None
         if policy is None:
             return
-        now_ms = self._clock.now_ms()
-        report = None
-        if self.exchange is None:
-            self.latency_ms = now_ms - self._start_ms
-        else:
-            self.exchange.close()
-            report = load_header.report_of(self.exchange.head)
+        if latency_ms is None:
+            latency_ms = self.elapsed_ms()
         policy.completed(
             routing_api.Completion(
-                self.upstream_id, result, self.latency_ms, report
+                self.upstream_id, result, latency_ms, report
             ),
-            now_ms,
+            self._clock.now_ms(),
         )
 
 
+class Answer:
+    """An upstream's answer, whose body is still to be read.
+
+    Attributes:
+        attempt: The attempt that it answers.
+        exchange: The exchange that brings it.
+        report: The load report that came with it.
+    """
+
+    def __init__(
+        self, attempt: Attempt, exchange: transport_api.Exchange
+    ) -> None:
+        self.attempt = attempt
+        self.exchange = exchange
+        self.report = load_header.report_of(exchange.head)
+        self._latency_ms = attempt.elapsed_ms()
+
+    @property
+    def head(self) -> transport_api.ResponseHead:
+        """Status and headers of the answer."""
+        return self.exchange.head
+
+    def end(self, result: routing_api.Result) -> None:
+        """Ends the exchange and tells the policy how it went."""
+        self.exchange.close()
+        self.attempt.end(result, self._latency_ms, self.report)
+
+    def end_whole(self) -> None:
+        """Ends an exchange whose answer has been read whole."""
+        failed = self.head.status in _FAILED_STATUSES
+        result = routing_api.Result.OK
+        self.end(routing_api.Result.FAILED if failed else result)
+
+
 class Dispatcher:
     """Chooses upstreams and sends requests to them."""
 
@@ -74,8 +103,8 @@
         self._transport = transport
         self._clock = clock
 
-    async def dispatch(self, call: call_module.Call) -> Attempt:
-        """Returns the attempt whose upstream answered.
+    async def dispatch(self, call: call_module.Call) -> Answer:
+        """Returns the answer of the first upstream that gives one.
 
         Raises:
             LovageyokeError: The error of the last attempt.
@@ -100,26 +129,40 @@
         repeatable = call.request.repeatable
         return retry is table.Retry.REPEATABLE and repeatable
 
-    async def attempt(self, call: call_module.Call) -> Attempt:
+    async def attempt(self, call: call_module.Call) -> Answer:
         """Sends the request once.
 
         Raises:
             LovageyokeError: The attempt failed.
         """
         attempt = self._choose(call)
+        target = call.route.targets[attempt.upstream_id]
         try:
-            await self._send(call, attempt)
+            exchange = await self._transport.send(
+                target, call.request, call.deadline_ms
+            )
         except exceptions.LovageyokeError as error:
             if error.answer.outcome is table.Outcome.UNKNOWN:
                 call.may_have_run = True
-            shed = error.kind is Kind.UPSTREAM_SHED
-            result = routing_api.Result.FAILED
-            attempt.end(routing_api.Result.SHED if shed else result)
+            attempt.end(routing_api.Result.FAILED)
             raise
         except BaseException:
             attempt.end(routing_api.Result.CANCELLED)
             raise
-        return attempt
+        return self._accept(call, Answer(attempt, exchange))
+
+    def _accept(self, call: call_module.Call, answer: Answer) -> Answer:
+        report = answer.report
+        if report is not None and report.draining:
+            call.route.policy.drain(
+                answer.attempt.upstream_id, self._clock.now_ms()
+            )
+        if load_header.is_shed(answer.head):
+            answer.end(routing_api.Result.SHED)
+            raise exceptions.UpstreamError(
+                "the upstream shed the request", Kind.UPSTREAM_SHED
+            )
+        return answer
 
     def _choose(self, call: call_module.Call) -> Attempt:
         now_ms = self._clock.now_ms()
@@ -138,32 +181,3 @@
             )
         call.excluded.add(upstream_id)
         return Attempt(upstream_id, policy, self._clock)
-
-    async def _send(self, call: call_module.Call, attempt: Attempt) -> None:
-        target = call.route.targets[attempt.upstream_id]
-        exchange = await self._transport.send(
-            target, call.request, call.deadline_ms
-        )
-        attempt.answered(exchange)
-        self._note_draining(call, attempt.upstream_id, exchange.head)
-        if load_header.is_shed(exchange.head):
-            raise exceptions.UpstreamError(
-                "the upstream shed the request", Kind.UPSTREAM_SHED
-            )
-
-    def _note_draining(
-        self,
-        call: call_module.Call,
-        upstream_id: str,
-        head: transport_api.ResponseHead,
-    ) -> None:
-        report = load_header.report_of(head)
-        if report is not None and report.draining:
-            call.route.policy.drain(upstream_id, self._clock.now_ms())
-
-
-def result_of(head: transport_api.ResponseHead) -> routing_api.Result:
-    """Returns how a whole response counts for its upstream."""
-    if head.status in _FAILED_STATUSES:
-        return routing_api.Result.FAILED
-    return routing_api.Result.OK
--- a/src/lovageyoke/caller/forward.py
+++ b/src/lovageyoke/caller/forward.py
@@ -28,26 +28,31 @@
             AnswerAbortedError: The answer had begun.
             LovageyokeError: No byte of an answer was sent.
         """
-        attempt = await self._dispatcher.dispatch(call)
-        result = routing_api.Result.CANCELLED
+        answer = await self._dispatcher.dispatch(call)
         try:
-            await self._stream(attempt, send)
-            assert attempt.exchange is not None
-            result = dispatch.result_of(attempt.exchange.head)
-        except exceptions.UpstreamError as error:
-            result = routing_api.Result.FAILED
-            call.may_have_run = True
-            raise AnswerAbortedError(error.detail, error.kind) from error
-        finally:
-            attempt.end(result)
-
-    async def _stream(self, attempt: dispatch.Attempt, send: api.Send) -> None:
-        exchange = attempt.exchange
-        assert exchange is not None
-        await send_head(exchange.head, send)
-        while data := await exchange.read():
+            await send_head(answer.head, send)
+        except BaseException:
+            answer.end(routing_api.Result.CANCELLED)
+            raise
+        await stream_rest(answer, send)
+
+
+async def stream_rest(answer: dispatch.Answer, send: api.Send) -> None:
+    """Streams what is left of an answer's body.
+
+    Raises:
+        AnswerAbortedError: The upstream didn't send the whole answer.
+    """
+    try:
+        while data := await answer.exchange.read():
             await send_part(data, send)
+        answer.end_whole()
         await send_end(send)
+    except exceptions.UpstreamError as error:
+        answer.end(routing_api.Result.FAILED)
+        raise AnswerAbortedError(error.detail, error.kind) from error
+    finally:
+        answer.end(routing_api.Result.CANCELLED)
 
 
 async def send_head(head: transport_api.ResponseHead, send: api.Send) -> None:
@@ -63,9 +68,7 @@
 
 async def send_part(data: bytes, send: api.Send) -> None:
     """Sends a part of an answer's body."""
-    await send(
-        {"type": "http.response.body", "body": data, "more_body": True}
-    )
+    await send({"type": "http.response.body", "body": data, "more_body": True})
 
 
 async def send_end(send: api.Send) -> None:
--- a/src/lovageyoke/caller/intake.py
+++ b/src/lovageyoke/caller/intake.py
@@ -16,6 +16,7 @@
 
 Kind = kinds.ErrorKind
 
+_MAX_DIGITS = 9
 _IDEMPOTENT_METHODS = frozenset(
     (b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE", b"TRACE")
 )
@@ -85,7 +86,7 @@
     value = headers.value_of(scope_headers, headers.DEADLINE_HEADER)
     if value == b"":
         return limits.deadline_ms
-    if not value.isdigit() or len(value) > 9:
+    if not value.isdigit() or len(value) > _MAX_DIGITS:
         raise exceptions.CallerError(
             f"{headers.DEADLINE_HEADER.decode()} must be a whole number of ms"
         )
--- a/src/lovageyoke/caller/server.py
+++ b/src/lovageyoke/caller/server.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import cast
 
+import anyio
 import attrs
 import hypercorn.asyncio
 import hypercorn.config
@@ -89,12 +90,33 @@
     Args:
         app: The ASGI application.
         listener: A listening socket; it is closed at the end.
-        until: Returns when the server has to stop.
+        until: Returns when the server has to stop. Cancellation stops it
+            at once.
         options: How connections are treated.
     """
     config = configure(listener, options or ServerOptions())
     # The server library takes ownership of the file descriptor.
     listener.detach()
-    await hypercorn.asyncio.serve(
-        cast("Any", app), config, shutdown_trigger=until
-    )
+    stopping = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_stop_after, until, stopping, config)
+        # The library can't be cancelled while it waits for its connections.
+        with anyio.CancelScope(shield=True):
+            await hypercorn.asyncio.serve(
+                cast("Any", app), config, shutdown_trigger=stopping.wait
+            )
+        tasks.cancel_scope.cancel()
+
+
+async def _stop_after(
+    until: Callable[[], Awaitable[None]],
+    stopping: anyio.Event,
+    config: hypercorn.config.Config,
+) -> None:
+    try:
+        await until()
+    except BaseException:
+        config.graceful_timeout = 0.0
+        raise
+    finally:
+        stopping.set()
--- a/src/lovageyoke/transport/h11_connection.py
+++ b/src/lovageyoke/transport/h11_connection.py
@@ -14,6 +14,7 @@
 Kind = kinds.ErrorKind
 
 MAX_HEAD_BYTES = 65_536
+_SWITCHING_PROTOCOLS = 101
 _FRAMING = (b"content-length", b"transfer-encoding")
 _BODILESS_STATUSES = (204, 304)
 
@@ -79,16 +80,14 @@
             event = await self._next_event(Kind.UPSTREAM_RESET)
             if isinstance(event, h11.Response):
                 return self._check_framing(
-                    api.ResponseHead(
-                        event.status_code, tuple(event.headers)
-                    )
+                    api.ResponseHead(event.status_code, tuple(event.headers))
                 )
             if not isinstance(event, h11.InformationalResponse):
                 raise exceptions.UpstreamError(
                     "the connection closed before a response",
                     Kind.UPSTREAM_RESET,
                 )
-            if event.status_code == 101:
+            if event.status_code == _SWITCHING_PROTOCOLS:
                 raise exceptions.UpstreamError(
                     "unexpected protocol switch", Kind.UPSTREAM_PROTOCOL
                 )
--- a/src/lovageyoke/transport/load_header.py
+++ b/src/lovageyoke/transport/load_header.py
@@ -16,6 +16,7 @@
 SHED_HEADER = b"lovageyoke-shed"
 MAX_HEADER_BYTES = 256
 MAX_COUNT = 1_000_000
+_UNAVAILABLE = 503
 _FIELD = re.compile(r"([a-z_]{1,32})=([0-9]{1,7})")
 
 
@@ -57,6 +58,6 @@
 
 def is_shed(head: api.ResponseHead) -> bool:
     """Returns whether the upstream declares that it shed the request."""
-    if head.status != 503:
+    if head.status != _UNAVAILABLE:
         return False
     return (SHED_HEADER, b"1") in head.headers
--- a/src/lovageyoke/transport/pool.py
+++ b/src/lovageyoke/transport/pool.py
@@ -132,9 +132,7 @@
             )
         finally:
             state.opening -= 1
-        return h11_connection.H11Connection(
-            target, sock, self._clock.now_ms()
-        )
+        return h11_connection.H11Connection(target, sock, self._clock.now_ms())
 
     def _make_room(self, state: TargetState) -> None:
         if state.total() < self.connection_share:
--- /dev/null
+++ b/tests/caller/test_app.py
@@ -0,0 +1,61 @@
+"""Tests of the caller application over real sockets."""
+
+from __future__ import annotations
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from fakes import path
+from fakes import scripted_upstream
+
+
+@pytest.mark.anyio
+async def test_a_request_reaches_an_upstream_and_its_answer_returns():
+    upstream = scripted_upstream.ScriptedUpstream()
+    async with path.running(upstream) as entry:
+        answer = await entry.client.get("/map?x=1")
+    assertions.assert_that(answer.text, matchers.Equals("ok"))
+    assertions.assert_that(
+        upstream.requests[0].target, matchers.Equals(b"/map?x=1")
+    )
+
+
+@pytest.mark.anyio
+async def test_a_connection_serves_one_request_after_another():
+    upstream = scripted_upstream.ScriptedUpstream()
+    async with path.running(upstream) as entry:
+        for _ in range(5):
+            await entry.client.get("/map")
+    assertions.assert_that(upstream.connections, matchers.Equals(1))
+
+
+@pytest.mark.anyio
+async def test_an_unknown_service_is_not_run():
+    async with path.running(scripted_upstream.ScriptedUpstream()) as entry:
+        answer = await entry.client.get("/nowhere")
+    assertions.assert_that(answer.status_code, matchers.Equals(404))
+    assertions.assert_that(
+        answer.headers["lovageyoke-outcome"], matchers.Equals("not-run")
+    )
+
+
+@pytest.mark.anyio
+async def test_a_repeated_booking_gets_the_stored_answer():
+    upstream = scripted_upstream.ScriptedUpstream()
+    headers = {"idempotency-key": "pitch-7"}
+    async with path.running(upstream) as entry:
+        first = await entry.client.post("/bookings", headers=headers)
+        second = await entry.client.post("/bookings", headers=headers)
+    assertions.assert_that(first.text, matchers.Equals(second.text))
+    assertions.assert_that(upstream.requests, matchers.HasLength(1))
+
+
+@pytest.mark.anyio
+async def test_a_body_over_the_limit_is_refused():
+    upstream = scripted_upstream.ScriptedUpstream()
+    limits = path.model.Limits(max_body_bytes=10)
+    async with path.running(upstream, limits=limits) as entry:
+        answer = await entry.client.put("/map", content=b"x" * 11)
+    assertions.assert_that(answer.status_code, matchers.Equals(413))
+    assertions.assert_that(upstream.requests, matchers.HasLength(0))
--- /dev/null
+++ b/tests/fakes/memory_claims.py
@@ -0,0 +1,39 @@
+"""At-most-once log in memory."""
+
+from __future__ import annotations
+
+from lovageyoke.errors import exceptions
+from lovageyoke.idempotency import api
+
+Verdict = api.Verdict
+
+
+class MemoryClaims(api.ClaimLog):
+    def __init__(self) -> None:
+        self.claimed: dict[tuple[str, str], api.Claim] = {}
+        self.answers: dict[tuple[str, str], api.StoredAnswer | None] = {}
+        self.released: list[api.Claim] = []
+        self.outage = False
+
+    async def claim(self, claim):
+        if self.outage:
+            raise exceptions.ClaimError("platform outage")
+        key = (claim.scope, claim.identity)
+        held = self.claimed.setdefault(key, claim)
+        if held.attempt_id == claim.attempt_id:
+            return api.ClaimResult(Verdict.GRANTED)
+        if held.fingerprint != claim.fingerprint:
+            return api.ClaimResult(Verdict.FINGERPRINT_DIFFERS)
+        if key not in self.answers:
+            return api.ClaimResult(Verdict.IN_PROGRESS)
+        answer = self.answers[key]
+        if answer is None:
+            return api.ClaimResult(Verdict.OUTCOME_UNKNOWN)
+        return api.ClaimResult(Verdict.ANSWERED, answer)
+
+    async def complete(self, claim, answer):
+        self.answers[claim.scope, claim.identity] = answer
+
+    async def release(self, claim):
+        del self.claimed[claim.scope, claim.identity]
+        self.released.append(claim)
--- /dev/null
+++ b/tests/fakes/scripted_upstream.py
@@ -0,0 +1,106 @@
+"""Upstream on a real socket that follows a script, byte by byte."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import socket
+import struct
+
+import anyio
+import h11
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+class Peer:
+    """The upstream's end of one connection."""
+
+    def __init__(self, sock: socket.socket, upstream: ScriptedUpstream) -> None:
+        self.sock = sock
+        self.upstream = upstream
+        self.parser = h11.Connection(h11.SERVER)
+
+    async def request(self) -> h11.Request:
+        """Reads one whole request, or ends the script at a close."""
+        head = None
+        while True:
+            event = self.parser.next_event()
+            if event is h11.NEED_DATA:
+                self.parser.receive_data(await self.receive())
+            elif isinstance(event, h11.Request):
+                head = event
+                self.upstream.requests.append(event)
+            elif isinstance(event, h11.EndOfMessage):
+                self.upstream.arrived.set()
+                self.upstream.arrived = anyio.Event()
+                # Answers are scripted bytes, so each request is parsed anew.
+                self.parser = h11.Connection(h11.SERVER)
+                return head
+            elif isinstance(event, h11.ConnectionClosed):
+                raise EOFError
+
+    async def receive(self) -> bytes:
+        await anyio.wait_readable(self.sock)
+        return self.sock.recv(65_536)
+
+    async def send(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self.sock.send(view) :]
+            except BlockingIOError:
+                await anyio.wait_writable(self.sock)
+
+    def reset(self) -> None:
+        linger = struct.pack("ii", 1, 0)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.sock.close()
+
+    async def until_closed(self) -> None:
+        """Waits for the other end to close, and reads nothing else."""
+        while await self.receive():
+            pass
+        self.upstream.closed.set()
+
+
+Script = Callable[[Peer], Awaitable[None]]
+
+
+async def answer_all(peer: Peer) -> None:
+    """Answers every request with OK."""
+    while True:
+        await peer.request()
+        await peer.send(OK)
+
+
+class ScriptedUpstream:
+    """Accepts connections and runs the next script on each."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.scripts = list(scripts) or [answer_all]
+        self.requests: list[h11.Request] = []
+        self.connections = 0
+        self.arrived = anyio.Event()
+        self.closed = anyio.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.port = self.listener.getsockname()[1]
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            with self.listener:
+                while True:
+                    await anyio.wait_readable(self.listener)
+                    sock, _ = self.listener.accept()
+                    sock.setblocking(False)
+                    last = len(self.scripts) - 1
+                    script = self.scripts[min(self.connections, last)]
+                    self.connections += 1
+                    tasks.start_soon(self._follow, script, Peer(sock, self))
+
+    async def _follow(self, script: Script, peer: Peer) -> None:
+        with contextlib.suppress(EOFError, OSError, h11.RemoteProtocolError):
+            await script(peer)
+        peer.sock.close()
