--- /dev/null
+++ b/src/lovageyoke/caller/claimed.py
@@ -0,0 +1,168 @@
+"""Forwards requests that run at most once."""
+
+from __future__ import annotations
+
+import uuid
+
+import anyio
+from loguru import logger
+
+from lovageyoke.caller import api
+from lovageyoke.caller import call as call_module
+from lovageyoke.caller import dispatch
+from lovageyoke.caller import forward
+from lovageyoke.caller import headers
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.errors import table
+from lovageyoke.idempotency import api as claim_api
+from lovageyoke.routing import api as routing_api
+
+Kind = kinds.ErrorKind
+Verdict = claim_api.Verdict
+
+_REFUSALS = {
+    Verdict.IN_PROGRESS: Kind.DUPLICATE_IN_PROGRESS,
+    Verdict.OUTCOME_UNKNOWN: Kind.DUPLICATE_OUTCOME_UNKNOWN,
+    Verdict.FINGERPRINT_DIFFERS: Kind.IDENTITY_REUSED,
+}
+
+
+class ClaimedForwarder:
+    """Claims a request, runs it once, and keeps its answer.
+
+    The exchange with the upstream goes on when the caller leaves, so that a
+    repeat of the request finds its answer.
+    """
+
+    def __init__(
+        self, dispatcher: dispatch.Dispatcher, claims: claim_api.ClaimLog
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._claims = claims
+
+    async def forward(
+        self, call: call_module.Call, claim: claim_api.Claim, send: api.Send
+    ) -> None:
+        """Answers a claimed request.
+
+        Raises:
+            AnswerAbortedError: The answer had begun.
+            LovageyokeError: No byte of an answer was sent.
+        """
+        result = await self._claims.claim(claim)
+        if result.verdict is Verdict.ANSWERED and result.answer is not None:
+            await send_stored(result.answer, send)
+            return
+        if result.verdict is not Verdict.GRANTED:
+            kind = _REFUSALS.get(result.verdict, Kind.DUPLICATE_OUTCOME_UNKNOWN)
+            raise exceptions.ClaimError("the identity is taken", kind)
+        with anyio.CancelScope(shield=True):
+            await self._run(call, claim, send)
+
+    async def _run(
+        self, call: call_module.Call, claim: claim_api.Claim, send: api.Send
+    ) -> None:
+        try:
+            answer = await self._dispatcher.dispatch(call)
+        except exceptions.LovageyokeError as error:
+            await self._settle(call, claim, error)
+            raise
+        call.may_have_run = True
+        try:
+            start, is_whole = await _read_start(answer)
+        except exceptions.UpstreamError:
+            answer.end(routing_api.Result.FAILED)
+            await self._complete(claim, None)
+            raise
+        if is_whole:
+            answer.end_whole()
+            await self._complete_and_send(claim, _stored(answer, start), send)
+            return
+        try:
+            await _stream(answer, start, send)
+        finally:
+            await self._complete(claim, None)
+
+    async def _complete_and_send(
+        self,
+        claim: claim_api.Claim,
+        stored: claim_api.StoredAnswer,
+        send: api.Send,
+    ) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._complete, claim, stored)
+            await send_stored(stored, send)
+
+    async def _settle(
+        self,
+        call: call_module.Call,
+        claim: claim_api.Claim,
+        error: exceptions.LovageyokeError,
+    ) -> None:
+        not_run = error.answer.outcome is table.Outcome.NOT_RUN
+        if call.may_have_run or not not_run:
+            await self._complete(claim, None)
+            return
+        try:
+            await self._claims.release(claim)
+        except exceptions.LovageyokeError as failure:
+            logger.warning("claim release failed: {}", failure.detail)
+
+    async def _complete(
+        self, claim: claim_api.Claim, answer: claim_api.StoredAnswer | None
+    ) -> None:
+        try:
+            await self._claims.complete(claim, answer)
+        except exceptions.LovageyokeError as failure:
+            logger.warning("claim completion failed: {}", failure.detail)
+
+
+async def _read_start(answer: dispatch.Answer) -> tuple[bytes, bool]:
+    """Returns up to the size that is kept, and whether that is all."""
+    start = b""
+    while len(start) <= claim_api.MAX_STORED_ANSWER_BYTES:
+        data = await answer.exchange.read()
+        if not data:
+            return start, True
+        start += data
+    return start, False
+
+
+def _stored(answer: dispatch.Answer, body: bytes) -> claim_api.StoredAnswer:
+    kept = tuple(headers.to_caller(answer.head.headers))
+    return claim_api.StoredAnswer(answer.head.status, kept, body)
+
+
+async def _stream(
+    answer: dispatch.Answer, start: bytes, send: api.Send
+) -> None:
+    await forward.send_head(answer.head, send)
+    await forward.send_part(start, send)
+    await forward.stream_rest(answer, send)
+
+
+def claim_of(call: call_module.Call) -> claim_api.Claim | None:
+    """Returns the claim of a request, None when it needs none."""
+    identified = call.identified
+    if identified is None or identified.identity is None:
+        return None
+    return claim_api.Claim(
+        scope=identified.scope,
+        identity=identified.identity,
+        fingerprint=identified.fingerprint,
+        attempt_id=uuid.uuid4().hex,
+        retention_ms=identified.rule.retention_ms,
+    )
+
+
+async def send_stored(answer: claim_api.StoredAnswer, send: api.Send) -> None:
+    """Sends an answer that is kept whole."""
+    await send(
+        {
+            "type": "http.response.start",
+            "status": answer.status,
+            "headers": list(answer.headers),
+        }
+    )
+    await send({"type": "http.response.body", "body": answer.body})
