Bound what upstreams, services and callers may take

Cause: 6 slots shared by 16 entries give a fixed share below one request, and one team's long requests could hold every place of an entry. Conclusion: fairness counts places held and not requests, since a download holds its place for minutes.

--- /dev/null
+++ b/src/lovageyoke/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Bounds on what upstreams, services and callers may take."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lovageyoke/limits/control.py
@@ -0,0 +1,297 @@
+"""Decides which requests may proceed, wait, or must be refused."""
+
+from __future__ import annotations
+
+import attrs
+
+from lovageyoke.config import model
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.limits import tickets
+
+HOLD_SMOOTHING = 0.05
+TEAM_CEILING = 0.8
+
+State = tickets.TicketState
+
+
+@attrs.define(eq=False)
+class Team:
+    """The admitted requests of one team's services.
+
+    Attributes:
+        weight: Its share among teams.
+        services: Services that it has.
+        in_use: Requests admitted and not yet ended.
+    """
+
+    weight: float = 1.0
+    services: int = 0
+    in_use: int = 0
+
+
+class AdmissionControl:
+    """Shares a process-wide number of requests between teams and services.
+
+    A free place goes to the waiting service whose team holds the least for
+    its weight, then to the service that does: weighted max-min fairness over
+    places held. Turns by requests, as in start-time fair queueing, would give
+    a service of long downloads more than its share, since a request here
+    holds its place for a millisecond or for minutes. One team can't take the
+    last part of the places, so that another's first request need not wait
+    for a long one to end.
+
+    Attributes:
+        limit: Requests that may be admitted at a time.
+        in_use: Requests admitted and not yet ended.
+        lines: Line of each service by name.
+        teams: Teams by name.
+        refused: Requests refused at once, since the start.
+        expired: Requests that waited in vain, since the start.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.in_use = 0
+        self.lines: dict[str, tickets.ServiceLine] = {}
+        self.teams: dict[str, Team] = {}
+        self.refused = 0
+        self.expired = 0
+        self._waiting: set[tickets.ServiceLine] = set()
+        self._grants = 0
+
+    def set_service(self, service: model.Service, weight: float = 1.0) -> None:
+        """Adds a service, or replaces its limits.
+
+        Args:
+            service: The service.
+            weight: Its share among its team's services.
+        """
+        line = self.lines.get(service.name)
+        if line is None:
+            line = tickets.ServiceLine(service.name, service.team)
+            self.lines[service.name] = line
+            self._team(service.team).services += 1
+        elif line.team != service.team:
+            self._move(line, service.team)
+        line.weight = weight
+        line.max_queue = service.limits.max_queue
+        line.queue_timeout_ms = service.limits.queue_timeout_ms
+
+    def set_team_weight(self, team: str, weight: float) -> None:
+        """Sets a team's share among teams; it is 1 otherwise."""
+        self._team(team).weight = weight
+
+    def set_capacity(
+        self, service: str, capacity: int, now_ms: float
+    ) -> list[tickets.Ticket]:
+        """Sets how many requests a service's upstreams may hold.
+
+        Returns:
+            Tickets that are no longer waiting.
+        """
+        line = self.lines[service]
+        grown = capacity > line.capacity
+        line.capacity = capacity
+        return self.grant(now_ms) if grown else []
+
+    def remove_service(self, service: str) -> list[tickets.Ticket]:
+        """Forgets a service; its waiting tickets expire and are returned.
+
+        Requests that were admitted count until they end.
+        """
+        line = self.lines.pop(service)
+        self._leave(line.team)
+        waiting = [each for each in line.queue if each.state is State.WAITING]
+        for ticket in waiting:
+            self.expire(ticket)
+        return waiting
+
+    def arrive(
+        self, service: str, deadline_ms: float, now_ms: float
+    ) -> tickets.Ticket:
+        """Admits a request or puts it in line.
+
+        Args:
+            service: Name of the service.
+            deadline_ms: Monotonic time by which its caller needs the answer.
+            now_ms: The present time in milliseconds.
+
+        Raises:
+            AdmissionError: Kind UNKNOWN_SERVICE, NO_UPSTREAM, OVERLOADED when
+                the line is full or too slow, or DEADLINE_BEFORE_DISPATCH when
+                the request would not be done in time.
+        """
+        line = self.lines.get(service)
+        if line is None:
+            raise self._refusal(kinds.ErrorKind.UNKNOWN_SERVICE, service)
+        expires_ms = min(deadline_ms, now_ms + line.queue_timeout_ms)
+        ticket = tickets.Ticket(line, now_ms, deadline_ms, expires_ms)
+        if deadline_ms <= now_ms:
+            raise self._refusal(
+                kinds.ErrorKind.DEADLINE_BEFORE_DISPATCH, service
+            )
+        if not line.waiting and self._has_room(line):
+            self._admit(line, ticket, now_ms)
+            return ticket
+        self._check_line(line, ticket)
+        line.queue.append(ticket)
+        line.waiting += 1
+        self._waiting.add(line)
+        return ticket
+
+    def end(
+        self, ticket: tickets.Ticket, now_ms: float
+    ) -> list[tickets.Ticket]:
+        """Records that a request ended or that its caller gave up.
+
+        Returns:
+            Other tickets that are no longer waiting.
+        """
+        state = ticket.state
+        ticket.state = State.ENDED
+        line = ticket.line
+        if state is State.WAITING:
+            self._drop_waiting(line)
+        if state is not State.ADMITTED:
+            return []
+        self._vacate(line)
+        hold_ms = now_ms - ticket.admitted_ms
+        known_ms = line.mean_hold_ms
+        if known_ms is None:
+            known_ms = hold_ms
+        line.mean_hold_ms = known_ms + HOLD_SMOOTHING * (hold_ms - known_ms)
+        return self.grant(now_ms)
+
+    def expire(self, ticket: tickets.Ticket) -> None:
+        """Ends the wait of a ticket whose time is up."""
+        if ticket.state is not State.WAITING:
+            return
+        ticket.state = State.EXPIRED
+        self.expired += 1
+        self._drop_waiting(ticket.line)
+
+    def grant(self, now_ms: float) -> list[tickets.Ticket]:
+        """Admits waiting requests while there is room.
+
+        Returns:
+            Tickets that were admitted, or found to have expired.
+        """
+        changed = []
+        while self.in_use < self.limit and self._waiting:
+            line = self._next_line()
+            if line is None:
+                break
+            ticket = line.queue.popleft()
+            if ticket.state is not State.WAITING:
+                continue
+            if ticket.expires_ms <= now_ms:
+                self.expire(ticket)
+            else:
+                self._drop_waiting(line)
+                self._admit(line, ticket, now_ms)
+            changed.append(ticket)
+        return changed
+
+    def error_for(self, ticket: tickets.Ticket) -> exceptions.AdmissionError:
+        """Returns the error of a ticket that waited in vain."""
+        kind = kinds.ErrorKind.OVERLOADED
+        if ticket.expires_ms >= ticket.deadline_ms:
+            kind = kinds.ErrorKind.DEADLINE_BEFORE_DISPATCH
+        return exceptions.AdmissionError(
+            f"service {ticket.line.name} had no room in time", kind
+        )
+
+    def _next_line(self) -> tickets.ServiceLine | None:
+        eligible = [line for line in self._waiting if self._has_room(line)]
+        return min(eligible, key=self._priority, default=None)
+
+    def _priority(self, line: tickets.ServiceLine) -> tuple[float, float, int]:
+        team = self.teams[line.team]
+        return (
+            team.in_use / team.weight,
+            line.in_use / line.weight,
+            line.granted,
+        )
+
+    def _has_room(self, line: tickets.ServiceLine) -> bool:
+        return (
+            self.in_use < self.limit
+            and line.in_use < line.capacity
+            and self.teams[line.team].in_use < self.team_ceiling()
+        )
+
+    def team_ceiling(self) -> int:
+        """Returns the most requests that one team may hold."""
+        if len(self.teams) == 1:
+            return self.limit
+        return max(1, int(self.limit * TEAM_CEILING))
+
+    def _admit(
+        self,
+        line: tickets.ServiceLine,
+        ticket: tickets.Ticket,
+        now_ms: float,
+    ) -> None:
+        ticket.state = State.ADMITTED
+        ticket.admitted_ms = now_ms
+        self._grants += 1
+        line.granted = self._grants
+        line.in_use += 1
+        self.teams[line.team].in_use += 1
+        self.in_use += 1
+
+    def _vacate(self, line: tickets.ServiceLine) -> None:
+        line.in_use -= 1
+        self.teams[line.team].in_use -= 1
+        self.in_use -= 1
+        self._forget_unused(line.team)
+
+    def _drop_waiting(self, line: tickets.ServiceLine) -> None:
+        line.waiting -= 1
+        if not line.waiting:
+            line.queue.clear()
+            self._waiting.discard(line)
+
+    def _check_line(
+        self, line: tickets.ServiceLine, ticket: tickets.Ticket
+    ) -> None:
+        if line.capacity < 1:
+            raise self._refusal(kinds.ErrorKind.NO_UPSTREAM, line.name)
+        if line.waiting >= line.max_queue:
+            raise self._refusal(kinds.ErrorKind.OVERLOADED, line.name)
+        ready_ms = ticket.arrived_ms + line.expected_wait_ms()
+        if ready_ms >= ticket.deadline_ms:
+            raise self._refusal(
+                kinds.ErrorKind.DEADLINE_BEFORE_DISPATCH, line.name
+            )
+        if ready_ms >= ticket.expires_ms:
+            raise self._refusal(kinds.ErrorKind.OVERLOADED, line.name)
+
+    def _refusal(
+        self, kind: kinds.ErrorKind, service: str
+    ) -> exceptions.AdmissionError:
+        self.refused += 1
+        return exceptions.AdmissionError(
+            f"service {service} can't take the request", kind
+        )
+
+    def _team(self, name: str) -> Team:
+        return self.teams.setdefault(name, Team())
+
+    def _leave(self, name: str) -> None:
+        self.teams[name].services -= 1
+        self._forget_unused(name)
+
+    def _forget_unused(self, name: str) -> None:
+        team = self.teams[name]
+        if team.services < 1 and team.in_use < 1:
+            del self.teams[name]
+
+    def _move(self, line: tickets.ServiceLine, team: str) -> None:
+        self.teams[line.team].in_use -= line.in_use
+        self._leave(line.team)
+        line.team = team
+        joined = self._team(team)
+        joined.services += 1
+        joined.in_use += line.in_use
