Serve equal lines in a fixed order

Change: waiting lines stand in insertion order, and the greedy control of the test prefers the noisy team outright, which is as strict. Conclusion: decisions must not depend on hash order.

--- a/src/lovageyoke/limits/control.py
+++ b/src/lovageyoke/limits/control.py
@@ -57,7 +57,7 @@
         self.teams: dict[str, Team] = {}
         self.refused = 0
         self.expired = 0
-        self._waiting: set[tickets.ServiceLine] = set()
+        self._waiting: dict[tickets.ServiceLine, None] = {}
         self._grants = 0
 
     def set_service(self, service: model.Service, weight: float = 1.0) -> None:
@@ -137,7 +137,7 @@
         self._check_line(line, ticket)
         line.queue.append(ticket)
         line.waiting += 1
-        self._waiting.add(line)
+        self._waiting[line] = None
         return ticket
 
     def end(
@@ -251,7 +251,7 @@
         line.waiting -= 1
         if not line.waiting:
             line.queue.clear()
-            self._waiting.discard(line)
+            self._waiting.pop(line, None)
 
     def _check_line(
         self, line: tickets.ServiceLine, ticket: tickets.Ticket
--- a/tests/limits/test_control.py
+++ b/tests/limits/test_control.py
@@ -21,10 +21,10 @@
 
 
 class GreedyControl(control.AdmissionControl):
-    """A broken control that serves the longest line first."""
+    """A broken control that serves the noisy team first."""
 
     def _priority(self, line):
-        return (0.0, 0.0, -line.waiting)
+        return (float(line.team != "squares"), 0.0, 0)
 
 
 class UnboundedControl(control.AdmissionControl):
