--- /dev/null
+++ b/src/lovageyoke/config/updates.py
@@ -0,0 +1,58 @@
+"""Updates of a group, as they are applied and sent between entries."""
+
+from __future__ import annotations
+
+import attrs
+
+from lovageyoke.config import document
+from lovageyoke.config import model
+
+
+@attrs.frozen
+class ServiceUpdate:
+    """The state of one service.
+
+    Attributes:
+        name: Its name.
+        version: Its version.
+        sequence: Sequence of its group when it last changed.
+        service: Its content, or None when it is removed.
+    """
+
+    name: str
+    version: int
+    sequence: int
+    service: model.Service | None
+
+    def versioned(self) -> model.VersionedService:
+        """Returns the content with its version."""
+        return model.VersionedService(self.version, self.service)
+
+
+@attrs.frozen
+class GroupUpdate:
+    """All changes of a group between two sequences.
+
+    Attributes:
+        group: The group.
+        base: Sequence that the update starts from.
+        sequence: Sequence that it leads to.
+        services: Services that changed after ``base``.
+    """
+
+    group: int
+    base: int
+    sequence: int
+    services: tuple[ServiceUpdate, ...]
+
+
+def from_document(
+    group: int, current: document.Document, base: int = 0
+) -> GroupUpdate:
+    """Returns the update from ``base`` to a document."""
+    services = tuple(
+        ServiceUpdate(name, entry.version, entry.sequence, entry.service)
+        for name, entry in sorted(current.entries.items())
+        if entry.sequence > base
+    )
+    return GroupUpdate(group, base, current.sequence, services)
