--- a/src/lovageyoke/membership/api.py
+++ b/src/lovageyoke/membership/api.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+NO_SHARE_DIVISOR = 2**62
+"""Divisor of an entry that must send no probes."""
+
 
 class MemberState(enum.Enum):
     """State of an entry VM as this one knows it."""
@@ -57,7 +60,9 @@
     def probe_divisor(self, now_ms: float) -> int:
         """Returns the number that this entry's probe share divides by.
 
-        The sum of shares over the fleet never exceeds one: the divisor grows
-        at once when membership may have grown, and shrinks only after all
-        other members must have learnt of it.
+        The sum of shares over the fleet never exceeds one at any moment.
+
+        Returns:
+            The divisor, which is ``NO_SHARE_DIVISOR`` when this entry must
+            send no probes now. It is to be asked for before each probe.
         """
