--- /dev/null
+++ b/src/lovageyoke/entry/listeners.py
@@ -0,0 +1,61 @@
+"""The listening sockets of an entry VM."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+import attrs
+
+from lovageyoke.serving import hosting
+from lovageyoke.settings import model
+from lovageyoke.transport import sockets
+
+
+@attrs.frozen
+class Listeners:
+    """Sockets that are bound before any task starts.
+
+    Attributes:
+        caller: For callers.
+        operator: For operators and metrics.
+        peer: For other entries.
+    """
+
+    caller: socket.socket
+    operator: socket.socket
+    peer: socket.socket
+
+    def addresses(self) -> model.Listen:
+        """Returns the bound addresses, with the ports that were taken."""
+        return model.Listen(
+            caller=_address_of(self.caller),
+            operator=_address_of(self.operator),
+            peer=_address_of(self.peer),
+        )
+
+
+def bind(listen: model.Listen) -> Listeners:
+    """Binds all sockets, or none.
+
+    Raises:
+        SettingsError: An address can't be bound.
+    """
+    with contextlib.ExitStack() as undo:
+        bound = [
+            undo.enter_context(_bind(address))
+            for address in (listen.caller, listen.operator, listen.peer)
+        ]
+        sockets.set_liveness_options(bound[0])
+        undo.pop_all()
+    return Listeners(*bound)
+
+
+def _bind(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    return hosting.bind(host.strip("[]"), int(port))
+
+
+def _address_of(listener: socket.socket) -> str:
+    host, port = listener.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
