Commit claims in batches to a log for each shard

Cause: one key for each claim costs at least two platform writes, and its keys are never deleted. Change: identities hash to shards; the owner of a shard appends batches to a ring of fixed keys by compare-and-swap, one commit in flight, and answers when a batch is durable.

Ruled out: create-if-absent of new segment keys, which needs deletes and so either loses the fence or keeps keys for ever.

--- /dev/null
+++ b/src/lovageyoke/idempotency/batch.py
@@ -0,0 +1,100 @@
+"""Entries that wait for the next segment of a shard's log."""
+
+from __future__ import annotations
+
+import anyio
+import attrs
+
+from lovageyoke.errors import exceptions
+from lovageyoke.idempotency import api
+from lovageyoke.idempotency import records
+
+AttemptKey = tuple[str, str, str]
+
+
+@attrs.define
+class Batch:
+    """Entries that are written together.
+
+    Attributes:
+        claims: Claims by scope and identity; one attempt for each identity.
+        completions: Completions by scope, identity and attempt.
+        releases: Releases by scope, identity and attempt.
+        size_bytes: Approximate encoded size.
+        done: Set when the batch is written, or never will be.
+        error: Why it was not written, once it is done.
+    """
+
+    claims: dict[records.Key, api.Claim] = attrs.field(factory=dict)
+    completions: dict[AttemptKey, records.CompleteEntry] = attrs.field(
+        factory=dict
+    )
+    releases: dict[AttemptKey, records.ReleaseEntry] = attrs.field(factory=dict)
+    size_bytes: int = 0
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    error: exceptions.ClaimError | None = None
+
+    def is_empty(self) -> bool:
+        """Returns whether it has no entries."""
+        return not (self.claims or self.completions or self.releases)
+
+    def is_urgent(self) -> bool:
+        """Returns whether a caller may be waiting for it."""
+        return bool(self.claims or self.releases)
+
+    def add_claim(self, claim: api.Claim) -> None:
+        """Adds a claim.
+
+        Raises:
+            ClaimError: The batch is full.
+        """
+        self._reserve(records.ENTRY_OVERHEAD_BYTES)
+        self.claims[(claim.scope, claim.identity)] = claim
+
+    def add_completion(self, entry: records.CompleteEntry) -> None:
+        """Adds a completion; drops its answer when the batch is half full.
+
+        Raises:
+            ClaimError: The batch is full.
+        """
+        key = (entry.scope, entry.identity, entry.attempt_id)
+        if key in self.completions:
+            return
+        size_bytes = records.answer_bytes(entry.answer)
+        if self.size_bytes + size_bytes > records.MAX_BATCH_BYTES // 2:
+            entry = attrs.evolve(entry, answer=None)
+            size_bytes = 0
+        self._reserve(records.ENTRY_OVERHEAD_BYTES + size_bytes)
+        self.completions[key] = entry
+
+    def add_release(self, entry: records.ReleaseEntry) -> None:
+        """Adds a release.
+
+        Raises:
+            ClaimError: The batch is full.
+        """
+        key = (entry.scope, entry.identity, entry.attempt_id)
+        if key not in self.releases:
+            self._reserve(records.ENTRY_OVERHEAD_BYTES)
+            self.releases[key] = entry
+
+    def finish(self, error: exceptions.ClaimError | None = None) -> None:
+        """Wakes those who wait for the batch."""
+        if not self.done.is_set():
+            self.error = error
+            self.done.set()
+
+    async def wait(self) -> None:
+        """Waits until the batch is written.
+
+        Raises:
+            ClaimError: It was not.
+        """
+        await self.done.wait()
+        if self.error is not None:
+            raise self.error
+
+    def _reserve(self, size_bytes: int) -> None:
+        if self.size_bytes + size_bytes > records.MAX_BATCH_BYTES:
+            raise exceptions.ClaimError("the shard's next batch is full")
+        self.size_bytes += size_bytes
--- /dev/null
+++ b/src/lovageyoke/idempotency/fenced.py
@@ -0,0 +1,146 @@
+"""Keys of the platform that only the latest owner can write."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.errors import exceptions
+from lovageyoke.idempotency import budget as budget_lib
+from lovageyoke.idempotency import records
+from lovageyoke.platform import api as platform_api
+
+MIN_BACKOFF_MS = 5.0
+MAX_BACKOFF_MS = 500.0
+
+
+class FencedError(exceptions.ClaimError):
+    """Another owner wrote the key first.
+
+    Attributes:
+        record: What the key holds.
+    """
+
+    def __init__(self, record: platform_api.Record | None) -> None:
+        super().__init__("another owner wrote to the shard's log")
+        self.record = record
+
+
+@attrs.define
+class Calls:
+    """Counts of platform calls.
+
+    Attributes:
+        reads: Reads.
+        writes: Writes, tries included.
+        lost: Writes whose answer was lost.
+        failed: Calls that had no effect.
+    """
+
+    reads: int = 0
+    writes: int = 0
+    lost: int = 0
+    failed: int = 0
+
+
+class FencedStore:
+    """Reads and writes keys by revision, through outages and lost answers.
+
+    A key is never deleted, so a write that names an old revision fails
+    however late it arrives.
+
+    Attributes:
+        platform: The platform's service.
+        clock: The clock.
+        rng: Source of tokens and jitter.
+        budget: Budget that each write is taken from, tries included.
+        calls: Counts of calls.
+        failing_since_ms: When the present run of failures began, or None.
+    """
+
+    def __init__(
+        self,
+        platform: platform_api.Platform,
+        clock: clock_api.Clock,
+        rng: random.Random,
+        budget: budget_lib.WriteBudget,
+    ) -> None:
+        self.platform = platform
+        self.clock = clock
+        self.rng = rng
+        self.budget = budget
+        self.calls = Calls()
+        self.failing_since_ms: float | None = None
+
+    def new_token(self) -> bytes:
+        """Returns a token for one write."""
+        return self.rng.randbytes(records.TOKEN_BYTES)
+
+    async def read(self, key: str) -> platform_api.Record | None:
+        """Returns a key's record, trying until the platform answers."""
+        backoff_ms = MIN_BACKOFF_MS
+        while True:
+            self.calls.reads += 1
+            try:
+                record = await self.platform.get(key)
+            except exceptions.PlatformError:
+                backoff_ms = await self._back_off(backoff_ms)
+                continue
+            self.failing_since_ms = None
+            return record
+
+    async def write(self, key: str, value: bytes, revision: int) -> int:
+        """Writes a key, trying until its fate is known.
+
+        Args:
+            key: The key.
+            value: The value; it starts with a token of its own.
+            revision: The revision to replace; 0 to create the key.
+
+        Returns:
+            The new revision.
+
+        Raises:
+            FencedError: The key holds another write.
+        """
+        backoff_ms = MIN_BACKOFF_MS
+        while True:
+            self.calls.writes += 1
+            self.budget.spend(self.clock.now_ms())
+            try:
+                written = await self._write_once(key, value, revision)
+            except exceptions.RevisionConflictError:
+                return await self._settle(key, value)
+            except exceptions.PlatformOutcomeUnknownError:
+                self.calls.lost += 1
+                await self.clock.sleep_ms(MIN_BACKOFF_MS)
+            except exceptions.PlatformError:
+                backoff_ms = await self._back_off(backoff_ms)
+            else:
+                self.failing_since_ms = None
+                return written.revision
+
+    async def _write_once(
+        self, key: str, value: bytes, revision: int
+    ) -> platform_api.Record:
+        if revision == 0:
+            return await self.platform.create(key, value)
+        return await self.platform.compare_and_swap(key, value, revision)
+
+    async def _settle(self, key: str, value: bytes) -> int:
+        record = await self.read(key)
+        if record is None:
+            raise FencedError(None)
+        if records.token_of(record.value) != records.token_of(value):
+            raise FencedError(record)
+        return record.revision
+
+    async def _back_off(self, backoff_ms: float) -> float:
+        self.calls.failed += 1
+        if self.failing_since_ms is None:
+            self.failing_since_ms = self.clock.now_ms()
+        jitter = 0.5 + self.rng.random()
+        await self.clock.sleep_ms(backoff_ms * jitter)
+        return min(MAX_BACKOFF_MS, backoff_ms * 2.0)
--- /dev/null
+++ b/src/lovageyoke/idempotency/log_state.py
@@ -0,0 +1,227 @@
+"""State of a shard of the log: a pure function of its segments."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import heapq
+
+from lovageyoke.errors import exceptions
+from lovageyoke.idempotency import api
+from lovageyoke.idempotency import records
+
+MAX_IDENTITIES = 100_000
+MAX_ANSWERS_BYTES = 16_000_000
+MAX_SPENT_ATTEMPTS = 32
+MIN_RETENTION_MS = 600_000
+RETENTION_MARGIN_MS = 60_000
+CLOCK_DRIFT_DIVISOR = 100
+
+
+class ShardState:
+    """Identities of a shard as of the last applied segment.
+
+    Attributes:
+        records: Identities that are remembered.
+        changed: Keys that segments changed since the last snapshot.
+        applied: Number of the last applied segment.
+        epoch: Highest epoch seen.
+        log_time_ms: Log time of the last applied segment.
+        answers_bytes: Size of the stored answers.
+    """
+
+    def __init__(self) -> None:
+        self.records: dict[records.Key, records.IdentityRecord] = {}
+        self.changed: dict[records.Key, None] = {}
+        self.applied = 0
+        self.epoch = 0
+        self.log_time_ms = 0
+        self.answers_bytes = 0
+        self._expiries: list[tuple[int, records.Key]] = []
+
+    def load(self, head: records.Head, runs: Iterable[records.Run]) -> None:
+        """Replaces the state by a snapshot's."""
+        self.applied = head.covered
+        self.log_time_ms = head.log_time_ms
+        for run in runs:
+            for record in run.records:
+                self._put(record)
+        self.changed = {}
+        self._forget()
+
+    def apply(self, segment: records.Segment) -> None:
+        """Applies the next segment.
+
+        Raises:
+            ValueError: The segment doesn't follow the last one.
+        """
+        if segment.number != self.applied + 1 or segment.epoch < self.epoch:
+            raise ValueError(
+                f"segment {segment.number} of epoch {segment.epoch} after "
+                f"{self.applied} of epoch {self.epoch}"
+            )
+        self.applied = segment.number
+        self.epoch = segment.epoch
+        self.log_time_ms = max(self.log_time_ms, segment.log_time_ms)
+        for claim in segment.claims:
+            self._apply_claim(claim)
+        for completion in segment.completions:
+            self._apply_completion(completion)
+        for release in segment.releases:
+            self._apply_release(release)
+        self._forget()
+
+    def lookup(self, claim: api.Claim) -> api.ClaimResult | None:
+        """Returns the verdict on a claim, or None if it may be granted.
+
+        Raises:
+            ClaimError: The attempt was released, or the shard is full.
+        """
+        record = self.records.get((claim.scope, claim.identity))
+        if record is None:
+            if len(self.records) >= MAX_IDENTITIES:
+                raise exceptions.ClaimError("the claim log is full")
+            return None
+        if claim.attempt_id in record.spent:
+            raise exceptions.ClaimError("the attempt was released")
+        if record.status is records.Status.RELEASED:
+            return None
+        return verdict_of(record, claim)
+
+    def take_changed(self) -> list[records.IdentityRecord]:
+        """Returns the identities changed since the last call."""
+        changed, self.changed = self.changed, {}
+        return [self.records[key] for key in changed if key in self.records]
+
+    def _apply_claim(self, claim: api.Claim) -> None:
+        key = (claim.scope, claim.identity)
+        previous = self.records.get(key)
+        spent: tuple[str, ...] = ()
+        if previous is not None:
+            spent = previous.spent
+            if previous.status is not records.Status.RELEASED:
+                return
+        if claim.attempt_id in spent:
+            return
+        self._put(
+            records.IdentityRecord(
+                scope=claim.scope,
+                identity=claim.identity,
+                fingerprint=claim.fingerprint,
+                attempt_id=claim.attempt_id,
+                status=records.Status.CLAIMED,
+                expires_ms=self._expiry(claim.retention_ms),
+                spent=spent,
+            )
+        )
+
+    def _apply_completion(self, entry: records.CompleteEntry) -> None:
+        record = self.records.get((entry.scope, entry.identity))
+        if record is None or record.attempt_id != entry.attempt_id:
+            return
+        if record.status is not records.Status.CLAIMED:
+            return
+        answer = entry.answer
+        size_bytes = records.answer_bytes(answer)
+        if self.answers_bytes + size_bytes > MAX_ANSWERS_BYTES:
+            answer = None
+        self._put(
+            records.IdentityRecord(
+                scope=entry.scope,
+                identity=entry.identity,
+                fingerprint=record.fingerprint,
+                attempt_id=entry.attempt_id,
+                status=records.Status.DONE,
+                expires_ms=self._expiry(entry.retention_ms),
+                answer=answer,
+                spent=record.spent,
+            )
+        )
+
+    def _apply_release(self, entry: records.ReleaseEntry) -> None:
+        record = self.records.get((entry.scope, entry.identity))
+        spent: tuple[str, ...] = ()
+        if record is not None:
+            spent = record.spent
+            held = record.attempt_id == entry.attempt_id
+            claimed = record.status is records.Status.CLAIMED
+            if entry.attempt_id in spent or (held and not claimed):
+                return
+            if not held and record.status is not records.Status.RELEASED:
+                self._put_spent(record, entry.attempt_id)
+                return
+        self._put(
+            records.IdentityRecord(
+                scope=entry.scope,
+                identity=entry.identity,
+                fingerprint="",
+                attempt_id=entry.attempt_id,
+                status=records.Status.RELEASED,
+                expires_ms=self._expiry(entry.retention_ms),
+                spent=_add_spent(spent, entry.attempt_id),
+            )
+        )
+
+    def _put_spent(
+        self, record: records.IdentityRecord, attempt_id: str
+    ) -> None:
+        self._put(
+            records.IdentityRecord(
+                scope=record.scope,
+                identity=record.identity,
+                fingerprint=record.fingerprint,
+                attempt_id=record.attempt_id,
+                status=record.status,
+                expires_ms=record.expires_ms,
+                answer=record.answer,
+                spent=_add_spent(record.spent, attempt_id),
+            )
+        )
+
+    def _expiry(self, retention_ms: int) -> int:
+        """Returns a log time that real time reaches no earlier.
+
+        Log time never runs ahead of real time by more than clock drift, so
+        the margin is for drift and for batches that took long to write.
+        """
+        retention_ms = max(retention_ms, MIN_RETENTION_MS)
+        drift_ms = retention_ms // CLOCK_DRIFT_DIVISOR
+        return self.log_time_ms + retention_ms + drift_ms + RETENTION_MARGIN_MS
+
+    def _put(self, record: records.IdentityRecord) -> None:
+        key = (record.scope, record.identity)
+        self._drop(key)
+        self.records[key] = record
+        self.changed[key] = None
+        self.answers_bytes += records.answer_bytes(record.answer)
+        heapq.heappush(self._expiries, (record.expires_ms, key))
+
+    def _drop(self, key: records.Key) -> None:
+        previous = self.records.pop(key, None)
+        if previous is not None:
+            self.answers_bytes -= records.answer_bytes(previous.answer)
+
+    def _forget(self) -> None:
+        while self._expiries and self._expiries[0][0] <= self.log_time_ms:
+            _, key = heapq.heappop(self._expiries)
+            record = self.records.get(key)
+            if record is not None and record.expires_ms <= self.log_time_ms:
+                self._drop(key)
+
+
+def verdict_of(
+    record: records.IdentityRecord, claim: api.Claim
+) -> api.ClaimResult:
+    """Returns the verdict on a claim of an identity that is not released."""
+    if record.fingerprint != claim.fingerprint:
+        return api.ClaimResult(api.Verdict.FINGERPRINT_DIFFERS)
+    if record.status is records.Status.CLAIMED:
+        if record.attempt_id == claim.attempt_id:
+            return api.ClaimResult(api.Verdict.GRANTED)
+        return api.ClaimResult(api.Verdict.IN_PROGRESS)
+    if record.answer is None:
+        return api.ClaimResult(api.Verdict.OUTCOME_UNKNOWN)
+    return api.ClaimResult(api.Verdict.ANSWERED, record.answer)
+
+
+def _add_spent(spent: tuple[str, ...], attempt_id: str) -> tuple[str, ...]:
+    return (*spent, attempt_id)[-MAX_SPENT_ATTEMPTS:]
--- /dev/null
+++ b/src/lovageyoke/idempotency/open_log.py
@@ -0,0 +1,258 @@
+"""A shard's log, open for appending by one owner."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import anyio
+import attrs
+
+from lovageyoke.errors import exceptions
+from lovageyoke.idempotency import fenced
+from lovageyoke.idempotency import log_state
+from lovageyoke.idempotency import records
+
+MIN_DELTAS_BEFORE_MERGE = 8
+CHECKPOINT_SEGMENTS = records.RING_SLOTS // 2
+
+
+@attrs.define
+class OpenLog:
+    """What an owner knows of its shard's log.
+
+    Attributes:
+        shard: The shard.
+        store: Access to the platform.
+        state: Identities as of the last segment.
+        head: The head as last written.
+        head_token: Token of that write.
+        head_revision: Revision of the head's key.
+        slot_revisions: Revisions of the ring slots.
+    """
+
+    shard: int
+    store: fenced.FencedStore
+    state: log_state.ShardState
+    head: records.Head
+    head_token: bytes
+    head_revision: int
+    slot_revisions: list[int]
+
+    def has_room(self) -> bool:
+        """Returns whether the next segment replaces a covered one."""
+        return self.state.applied + 1 - records.RING_SLOTS <= self.head.covered
+
+    def needs_checkpoint(self) -> bool:
+        """Returns whether enough segments follow the snapshot."""
+        return self.state.applied - self.head.covered >= CHECKPOINT_SEGMENTS
+
+    async def append(self, segment: records.Segment) -> None:
+        """Writes the next segment and applies it.
+
+        Raises:
+            FencedError: Another owner has taken over.
+        """
+        if not self.has_room():
+            raise ValueError("the segment would replace one not in a snapshot")
+        slot = segment.number % records.RING_SLOTS
+        self.slot_revisions[slot] = await self.store.write(
+            records.segment_key(self.shard, segment.number),
+            records.encode(self.store.new_token(), segment),
+            self.slot_revisions[slot],
+        )
+        self.state.apply(segment)
+
+    async def checkpoint(self) -> None:
+        """Writes a snapshot, so that older segments may be replaced.
+
+        Raises:
+            FencedError: Another owner has taken over.
+        """
+        covered = self.state.applied
+        log_time_ms = self.state.log_time_ms
+        changed = self.state.take_changed()
+        merge_at = max(MIN_DELTAS_BEFORE_MERGE, 2 * len(self.head.base))
+        if len(self.head.deltas) >= merge_at:
+            base = await self._write_runs(list(self.state.records.values()))
+            deltas: tuple[records.RunRef, ...] = ()
+        else:
+            base = self.head.base
+            deltas = self.head.deltas + await self._write_runs(changed)
+        await self._write_head(
+            attrs.evolve(
+                self.head,
+                covered=covered,
+                log_time_ms=log_time_ms,
+                base=base,
+                deltas=deltas,
+            )
+        )
+
+    async def _write_head(self, head: records.Head) -> None:
+        token = self.store.new_token()
+        self.head_revision = await self.store.write(
+            records.head_key(self.shard),
+            records.encode(token, head),
+            self.head_revision,
+        )
+        self.head = head
+        self.head_token = token
+
+    async def _write_runs(
+        self, identities: list[records.IdentityRecord]
+    ) -> tuple[records.RunRef, ...]:
+        used = {ref.slot for ref in self.head.base + self.head.deltas}
+        free = (slot for slot in range(records.RUN_SLOTS) if slot not in used)
+        refs = []
+        for chunk in _chunks(identities):
+            slot = next(free, None)
+            if slot is None:
+                raise exceptions.ClaimError("the snapshot has no free slot")
+            refs.append(await self._write_run(slot, records.Run(chunk)))
+        return tuple(refs)
+
+    async def _write_run(self, slot: int, run: records.Run) -> records.RunRef:
+        """Writes a run slot that the head doesn't refer to.
+
+        The head is read after the slot, so a revision that is written over
+        is never one of a later owner's.
+        """
+        key = records.run_key(self.shard, slot)
+        token = self.store.new_token()
+        value = records.encode(token, run)
+        while True:
+            previous = await self.store.read(key)
+            await self._check_head()
+            revision = previous.revision if previous else 0
+            await self._wait_for_budget()
+            try:
+                await self.store.write(key, value, revision)
+            except fenced.FencedError:
+                continue
+            return records.RunRef(slot, token)
+
+    async def _check_head(self) -> None:
+        record = await self.store.read(records.head_key(self.shard))
+        if record is None:
+            raise fenced.FencedError(None)
+        if records.token_of(record.value) != self.head_token:
+            raise fenced.FencedError(record)
+
+    async def _wait_for_budget(self) -> None:
+        now_ms = self.store.clock.now_ms()
+        await self.store.clock.sleep_ms(self.store.budget.delay_ms(now_ms))
+
+
+async def open_log(
+    shard: int, shard_count: int, entry_id: str, store: fenced.FencedStore
+) -> OpenLog:
+    """Takes over a shard: fences earlier owners, then reads its state.
+
+    Raises:
+        FencedError: Another entry is taking over, or has done so.
+        ClaimError: The log was made with another number of shards.
+    """
+    log = await _fence_head(shard, shard_count, entry_id, store)
+    await _load(log)
+    while True:
+        if not log.has_room():
+            # An earlier owner can't append either, so the log is complete.
+            await log.checkpoint()
+        segment = records.Segment(
+            number=log.state.applied + 1,
+            epoch=log.head.epoch,
+            writer=entry_id,
+            log_time_ms=log.state.log_time_ms,
+        )
+        try:
+            await log.append(segment)
+        except fenced.FencedError as error:
+            _follow(log, error)
+        else:
+            return log
+
+
+async def _fence_head(
+    shard: int, shard_count: int, entry_id: str, store: fenced.FencedStore
+) -> OpenLog:
+    key = records.head_key(shard)
+    found = await store.read(key)
+    head = records.Head(0, entry_id, shard_count)
+    if found is not None:
+        head = records.decode(found.value, records.Head)
+    if head.shard_count != shard_count:
+        raise exceptions.ClaimError(
+            f"the claim log has {head.shard_count} shards, not {shard_count}"
+        )
+    head = attrs.evolve(head, epoch=head.epoch + 1, writer=entry_id)
+    token = store.new_token()
+    revision = await store.write(
+        key, records.encode(token, head), found.revision if found else 0
+    )
+    return OpenLog(
+        shard=shard,
+        store=store,
+        state=log_state.ShardState(),
+        head=head,
+        head_token=token,
+        head_revision=revision,
+        slot_revisions=[0] * records.RING_SLOTS,
+    )
+
+
+async def _load(log: OpenLog) -> None:
+    refs = log.head.base + log.head.deltas
+    runs: dict[int, records.Run] = {}
+    segments: dict[int, records.Segment] = {}
+
+    async def read_run(position: int, ref: records.RunRef) -> None:
+        found = await log.store.read(records.run_key(log.shard, ref.slot))
+        if found is None or records.token_of(found.value) != ref.token:
+            raise fenced.FencedError(found)
+        runs[position] = records.decode(found.value, records.Run)
+
+    async def read_slot(slot: int) -> None:
+        found = await log.store.read(records.segment_key(log.shard, slot))
+        if found is None:
+            return
+        log.slot_revisions[slot] = found.revision
+        segment = records.decode(found.value, records.Segment)
+        segments[segment.number] = segment
+
+    async with anyio.create_task_group() as tasks:
+        for position, ref in enumerate(refs):
+            tasks.start_soon(read_run, position, ref)
+        for slot in range(records.RING_SLOTS):
+            tasks.start_soon(read_slot, slot)
+    log.state.load(log.head, (runs[each] for each in range(len(refs))))
+    while log.state.applied + 1 in segments:
+        log.state.apply(segments[log.state.applied + 1])
+
+
+def _follow(log: OpenLog, error: fenced.FencedError) -> None:
+    """Applies a segment that an earlier owner appended meanwhile."""
+    if error.record is None:
+        raise error
+    segment = records.decode(error.record.value, records.Segment)
+    expected = log.state.applied + 1
+    if segment.number != expected or segment.epoch > log.head.epoch:
+        raise error
+    log.slot_revisions[expected % records.RING_SLOTS] = error.record.revision
+    log.state.apply(segment)
+
+
+def _chunks(
+    identities: Iterable[records.IdentityRecord],
+) -> Iterator[tuple[records.IdentityRecord, ...]]:
+    chunk: list[records.IdentityRecord] = []
+    size_bytes = 0
+    for identity in identities:
+        size_bytes += records.record_bytes(identity)
+        if chunk and size_bytes > records.MAX_RUN_BYTES:
+            yield tuple(chunk)
+            chunk = []
+            size_bytes = records.record_bytes(identity)
+        chunk.append(identity)
+    if chunk:
+        yield tuple(chunk)
--- /dev/null
+++ b/src/lovageyoke/idempotency/service.py
@@ -0,0 +1,255 @@
+"""At-most-once log with group commit, shared by all entries."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import anyio.abc
+import attrs
+from loguru import logger
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.errors import exceptions
+from lovageyoke.idempotency import api
+from lovageyoke.idempotency import messages
+from lovageyoke.idempotency import records
+from lovageyoke.idempotency import shards as shards_lib
+from lovageyoke.membership import api as membership_api
+from lovageyoke.peer import api as peer_api
+from lovageyoke.platform import api as platform_api
+
+CLAIM_TIMEOUT_MS = 2_000.0
+ASK_TIMEOUT_MS = 500.0
+MIN_RETRY_DELAY_MS = 10.0
+MAX_RETRY_DELAY_MS = 200.0
+DELIVERY_TIMEOUT_MS = 600_000.0
+MAX_DELIVERIES = 10_000
+MS_PER_SECOND = 1_000.0
+
+
+@attrs.define
+class Stats:
+    """Counts of the log's work on this entry.
+
+    Attributes:
+        claims: Claims asked for.
+        granted: Claims granted.
+        unavailable: Claims that could not be made.
+        asked: Requests to owners, repeats included.
+        undelivered: Completions and releases given up.
+    """
+
+    claims: int = 0
+    granted: int = 0
+    unavailable: int = 0
+    asked: int = 0
+    undelivered: int = 0
+
+
+class SegmentedClaimLog(api.ClaimLog):
+    """Claims through the owner of each identity's shard.
+
+    An attempt id is used for one call of ``claim``: when that raises, the
+    attempt is released and never granted.
+
+    Attributes:
+        shards: The shards owned here.
+        stats: Counts.
+    """
+
+    def __init__(
+        self,
+        shards: shards_lib.OwnedShards,
+        peers: peer_api.PeerChannel,
+    ) -> None:
+        self.shards = shards
+        self.peers = peers
+        self.membership = shards.membership
+        self.clock = shards.clock
+        self.rng = shards.rng
+        self.stats = Stats()
+        self._deliveries = 0
+        self._tasks: anyio.abc.TaskGroup | None = None
+        for message_type in messages.REQUESTS:
+            peers.handle(message_type, shards.handle)
+
+    async def run(self) -> None:
+        """Serves the shards owned here until it is cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            try:
+                await self.shards.run()
+            finally:
+                self._tasks = None
+
+    async def claim(self, claim: api.Claim) -> api.ClaimResult:
+        """Claims an identity; GRANTED is durable when it is returned."""
+        self.stats.claims += 1
+        request = messages.ClaimRequest(self._shard(claim), claim)
+        settled = False
+        try:
+            reply, in_doubt = await self._ask(request, CLAIM_TIMEOUT_MS)
+            settled = not in_doubt
+        finally:
+            if not settled:
+                self._abandon(claim)
+        if isinstance(reply, messages.ClaimReply):
+            granted = reply.result.verdict is api.Verdict.GRANTED
+            self.stats.granted += granted
+            return reply.result
+        self.stats.unavailable += 1
+        raise exceptions.ClaimError(_detail(reply))
+
+    async def complete(
+        self, claim: api.Claim, answer: api.StoredAnswer | None
+    ) -> None:
+        """Records that the request ran; retries later when it can't now."""
+        if answer is not None:
+            size_bytes = records.answer_bytes(answer)
+            if size_bytes > api.MAX_STORED_ANSWER_BYTES:
+                answer = None
+        entry = records.CompleteEntry(
+            scope=claim.scope,
+            identity=claim.identity,
+            attempt_id=claim.attempt_id,
+            retention_ms=claim.retention_ms,
+            answer=answer,
+        )
+        await self._record(messages.CompleteRequest(self._shard(claim), entry))
+
+    async def release(self, claim: api.Claim) -> None:
+        """Gives up a claim; retries later when it can't now."""
+        await self._record(self._release_request(claim))
+
+    def _shard(self, claim: api.Claim) -> int:
+        count = self.shards.options.shard_count
+        return shards_lib.shard_of(claim.scope, claim.identity, count)
+
+    def _release_request(self, claim: api.Claim) -> messages.ReleaseRequest:
+        entry = records.ReleaseEntry(
+            scope=claim.scope,
+            identity=claim.identity,
+            attempt_id=claim.attempt_id,
+            retention_ms=claim.retention_ms,
+        )
+        return messages.ReleaseRequest(self._shard(claim), entry)
+
+    def _abandon(self, claim: api.Claim) -> None:
+        """Releases an attempt that may be granted after all."""
+        self._deliver_later(self._release_request(claim))
+
+    async def _record(self, request: messages.Request) -> None:
+        recorded = False
+        try:
+            reply, _ = await self._ask(request, ASK_TIMEOUT_MS)
+            recorded = isinstance(reply, messages.RecordedReply)
+        finally:
+            if not recorded:
+                self._deliver_later(request)
+
+    def _deliver_later(self, request: messages.Request) -> None:
+        if self._tasks is None or self._deliveries >= MAX_DELIVERIES:
+            self.stats.undelivered += 1
+            return
+        self._deliveries += 1
+        self._tasks.start_soon(self._deliver, request)
+
+    async def _deliver(self, request: messages.Request) -> None:
+        try:
+            reply, _ = await self._ask(request, DELIVERY_TIMEOUT_MS)
+        finally:
+            self._deliveries -= 1
+        if not isinstance(reply, messages.RecordedReply):
+            self.stats.undelivered += 1
+            logger.warning("gave up recording {}", type(request).__name__)
+
+    async def _ask(
+        self, request: messages.Request, timeout_ms: float
+    ) -> tuple[peer_api.Message | None, bool]:
+        """Asks the shard's owner until it records the request.
+
+        Returns:
+            The last reply, and whether a copy of the request may take effect
+            after it.
+        """
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        delay_ms = MIN_RETRY_DELAY_MS
+        in_doubt = False
+        hint = ""
+        reply: peer_api.Message | None = None
+        while True:
+            target = hint or self.membership.owner(request.shard)
+            left_ms = deadline_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                return reply, in_doubt
+            reply = None
+            if target is not None:
+                reply = await self._ask_once(target, request, left_ms)
+            if isinstance(reply, messages.ClaimReply | messages.RecordedReply):
+                return reply, False
+            hint = ""
+            if isinstance(reply, messages.MovedReply):
+                hint = "" if reply.owner == target else reply.owner
+            elif isinstance(reply, messages.RefusedReply):
+                in_doubt = in_doubt or reply.recorded
+                if _is_final(request, reply):
+                    return reply, in_doubt
+            else:
+                in_doubt = in_doubt or target is not None
+            await self.clock.sleep_ms(delay_ms * self.rng.uniform(0.5, 1.0))
+            delay_ms = min(MAX_RETRY_DELAY_MS, delay_ms * 2)
+
+    async def _ask_once(
+        self, target: str, request: messages.Request, left_ms: float
+    ) -> peer_api.Message | None:
+        self.stats.asked += 1
+        timeout_ms = min(ASK_TIMEOUT_MS, left_ms)
+        if target != self.membership.self_id():
+            try:
+                return await self.peers.request(target, request, timeout_ms)
+            except exceptions.PeerError:
+                return None
+        with anyio.move_on_after(timeout_ms / MS_PER_SECOND):
+            return await self.shards.handle(target, request)
+        return None
+
+
+def create(
+    platform: platform_api.Platform,
+    membership: membership_api.MembershipView,
+    peers: peer_api.PeerChannel,
+    clock: clock_api.Clock,
+    *,
+    rng: random.Random | None = None,
+    options: shards_lib.Options | None = None,
+) -> SegmentedClaimLog:
+    """Returns a log; ``run`` must be running for claims to be made.
+
+    Args:
+        platform: The platform's service.
+        membership: This entry's view of the others.
+        peers: Channel to the others; its codec must know ``messages.TYPES``.
+        clock: The clock.
+        rng: Source of tokens and jitter; by default the system's.
+        options: Sizes of the log.
+    """
+    shards = shards_lib.OwnedShards(
+        platform,
+        membership,
+        clock,
+        rng or random.SystemRandom(),
+        options or shards_lib.Options(),
+    )
+    return SegmentedClaimLog(shards, peers)
+
+
+def _is_final(request: messages.Request, reply: messages.RefusedReply) -> bool:
+    claiming = isinstance(request, messages.ClaimRequest)
+    return claiming and not reply.recorded
+
+
+def _detail(reply: peer_api.Message | None) -> str:
+    if isinstance(reply, messages.RefusedReply):
+        return reply.detail
+    return "the owner of the identity's shard did not answer"
--- /dev/null
+++ b/src/lovageyoke/idempotency/shards.py
@@ -0,0 +1,200 @@
+"""The shards that this entry owns."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import anyio.abc
+import attrs
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.errors import exceptions
+from lovageyoke.idempotency import budget
+from lovageyoke.idempotency import fenced
+from lovageyoke.idempotency import identity
+from lovageyoke.idempotency import messages
+from lovageyoke.idempotency import owner as owner_lib
+from lovageyoke.membership import api as membership_api
+from lovageyoke.peer import api as peer_api
+from lovageyoke.platform import api as platform_api
+
+DEFAULT_SHARD_COUNT = 8
+DEFAULT_WRITES_PER_S = 160.0
+DEFAULT_BURST = 8.0
+TICK_MS = 100.0
+MIN_HOLD_MS = 500.0
+MAX_HOLD_MS = 1_500.0
+HANDLER_TIMEOUT_MS = 1_000.0
+MS_PER_SECOND = 1_000.0
+
+
+@attrs.frozen
+class Options:
+    """Sizes of the log; all entries must agree on ``shard_count``.
+
+    Attributes:
+        shard_count: Number of shards; it never changes once used.
+        writes_per_s: Platform writes a second that all shards share.
+        burst: Writes that each shard may save up.
+    """
+
+    shard_count: int = DEFAULT_SHARD_COUNT
+    writes_per_s: float = DEFAULT_WRITES_PER_S
+    burst: float = DEFAULT_BURST
+
+
+@attrs.frozen
+class Hold:
+    """Time during which a shard that was lost is not taken back.
+
+    Attributes:
+        until_ms: When it ends.
+        writer: The entry that took the shard, or "" when unknown.
+    """
+
+    until_ms: float
+    writer: str
+
+
+def shard_of(scope: str, identity_hash: str, shard_count: int) -> int:
+    """Returns the shard of an identity."""
+    key = identity.digest(scope.encode(), identity_hash.encode())
+    return int(key, 16) % shard_count
+
+
+class OwnedShards:
+    """Starts and stops shard owners as membership changes.
+
+    Attributes:
+        owners: Running owners by shard.
+        holds: Shards that another entry took from this one.
+        calls: Counts of platform calls by shard.
+        takeovers: Takeovers begun.
+        moved: Shards lost to another owner.
+    """
+
+    def __init__(
+        self,
+        platform: platform_api.Platform,
+        membership: membership_api.MembershipView,
+        clock: clock_api.Clock,
+        rng: random.Random,
+        options: Options,
+    ) -> None:
+        self.platform = platform
+        self.membership = membership
+        self.clock = clock
+        self.rng = rng
+        self.options = options
+        self.owners: dict[int, owner_lib.ShardOwner] = {}
+        self.holds: dict[int, Hold] = {}
+        self.calls: dict[int, fenced.Calls] = {}
+        self.takeovers = 0
+        self.moved = 0
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._budgets = {
+            shard: budget.WriteBudget(
+                options.writes_per_s / options.shard_count, options.burst
+            )
+            for shard in range(options.shard_count)
+        }
+
+    async def run(self) -> None:
+        """Follows membership until it is cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            try:
+                while True:
+                    self._tick()
+                    await self.clock.sleep_ms(TICK_MS)
+            finally:
+                self._tasks = None
+
+    async def handle(
+        self, source: str, message: peer_api.Message
+    ) -> peer_api.Message | None:
+        """Serves a request about a claim from ``source``."""
+        if not isinstance(message, messages.REQUESTS):
+            return None
+        if not 0 <= message.shard < self.options.shard_count:
+            return messages.RefusedReply("no such shard", recorded=False)
+        with anyio.move_on_after(HANDLER_TIMEOUT_MS / MS_PER_SECOND):
+            return await self._serve(message)
+        return messages.RefusedReply("the shard's log is slow", recorded=True)
+
+    async def _serve(self, message: messages.Request) -> peer_api.Message:
+        owner = self._owner(message.shard)
+        if owner is None:
+            return messages.MovedReply(self._better_owner(message.shard))
+        try:
+            if isinstance(message, messages.ClaimRequest):
+                result = await owner.claim(message.claim)
+                return messages.ClaimReply(result)
+            if isinstance(message, messages.CompleteRequest):
+                await owner.complete(message.entry)
+            else:
+                await owner.release(message.entry)
+        except owner_lib.MovedError as error:
+            return messages.MovedReply(error.writer)
+        except exceptions.ClaimError as error:
+            return messages.RefusedReply(error.detail, recorded=False)
+        return messages.RecordedReply()
+
+    def _tick(self) -> None:
+        for shard in range(self.options.shard_count):
+            mine = self.membership.owner(shard) == self.membership.self_id()
+            if mine:
+                self._owner(shard)
+            elif shard in self.owners:
+                self.owners[shard].stop()
+
+    def _owner(self, shard: int) -> owner_lib.ShardOwner | None:
+        """Returns the shard's owner here, starting it if it should be here."""
+        owner = self.owners.get(shard)
+        if owner is not None:
+            return None if owner.closed else owner
+        if self._tasks is None or self._is_held(shard):
+            return None
+        if self.membership.owner(shard) != self.membership.self_id():
+            return None
+        store = fenced.FencedStore(
+            self.platform, self.clock, self.rng, self._budgets[shard]
+        )
+        store.calls = self.calls.setdefault(shard, store.calls)
+        owner = owner_lib.ShardOwner(
+            shard, self.options.shard_count, self.membership.self_id(), store
+        )
+        self.owners[shard] = owner
+        self.takeovers += 1
+        self._tasks.start_soon(self._run_owner, owner)
+        return owner
+
+    async def _run_owner(self, owner: owner_lib.ShardOwner) -> None:
+        try:
+            await owner.run()
+        finally:
+            del self.owners[owner.shard]
+        if not owner.stopped:
+            self.moved += 1
+            writer = owner.closed.writer if owner.closed else ""
+            hold_ms = self.rng.uniform(MIN_HOLD_MS, MAX_HOLD_MS)
+            until_ms = self.clock.now_ms() + hold_ms
+            self.holds[owner.shard] = Hold(until_ms, writer)
+
+    def _is_held(self, shard: int) -> bool:
+        hold = self.holds.get(shard)
+        if hold is None:
+            return False
+        if self.clock.now_ms() < hold.until_ms:
+            return True
+        del self.holds[shard]
+        return False
+
+    def _better_owner(self, shard: int) -> str:
+        if self._is_held(shard):
+            return self.holds[shard].writer
+        owner = self.membership.owner(shard)
+        if owner is None or owner == self.membership.self_id():
+            return ""
+        return owner
