--- /dev/null
+++ b/src/lovageyoke/demo/__init__.py
@@ -0,0 +1,3 @@
+"""A demonstration of the whole system in one process."""
+
+from __future__ import annotations
--- a/src/lovageyoke/standin/upstream.py
+++ b/src/lovageyoke/standin/upstream.py
@@ -50,13 +50,13 @@
 
     Attributes:
         runs: Number of runs of each booking identity.
-        served: Number of requests served by each upstream.
-        probes: Number of probes answered by each upstream.
+        served: Number of requests accepted by each upstream.
+        probe_times_ms: When each probe was answered, in order.
     """
 
     runs: dict[str, int] = attrs.field(factory=dict)
     served: dict[str, int] = attrs.field(factory=dict)
-    probes: dict[str, int] = attrs.field(factory=dict)
+    probe_times_ms: list[float] = attrs.field(factory=list)
 
     def count_run(self, identity: str) -> None:
         """Records that a booking was executed."""
@@ -66,10 +66,6 @@
         """Records that a request was served."""
         self.served[upstream_id] = self.served.get(upstream_id, 0) + 1
 
-    def count_probe(self, upstream_id: str) -> None:
-        """Records that a probe was answered."""
-        self.probes[upstream_id] = self.probes.get(upstream_id, 0) + 1
-
 
 def scan_bytes(start: int, end: int) -> bytes:
     """Returns the bytes of the stand-in's scan from start to end."""
@@ -128,7 +124,7 @@
         )
 
     async def _load(self, request: requests.Request) -> responses.Response:
-        self.ledger.count_probe(self.upstream_id)
+        self.ledger.probe_times_ms.append(self.clock.now_ms())
         return responses.Response(headers={LOAD_HEADER: self.load_header()})
 
     async def _control(self, request: requests.Request) -> responses.Response:
@@ -150,8 +146,8 @@
         if self.queued >= self.behaviour.max_queue:
             return self._shed()
         body = await request.body()
-        await self._work()
         self.ledger.count_served(self.upstream_id)
+        await self._work()
         if request.method == "POST":
             identity = request.headers.get("idempotency-key", "")
             self.ledger.count_run(identity or body.decode("latin-1"))
