Follow the configuration by shared watches and spread it by peers

Sixteen entries that each watch 64 groups would cost 1,024 waiting watches and grow with the fleet. Each group now has one watcher and one poller, chosen by rendezvous over the members and, if possible, in different failure domains; an entry alone follows all groups. A change goes down a tree over the members as a delta of services; an 8-byte digest in heartbeats and pulls repair what the tree missed. An entry starts from the platform, or from peers in an outage.

--- /dev/null
+++ b/src/lovageyoke/config/assignment.py
@@ -0,0 +1,59 @@
+"""Which groups an entry watches and polls; pure.
+
+Each group has one watcher and one poller, so the platform's calls don't grow
+with the fleet. They differ in how they learn of a change, so that dead
+watches leave the poller, and if possible in their failure domain. An entry
+that hears of no others follows every group itself.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from lovageyoke.config import groups
+from lovageyoke.membership import api
+from lovageyoke.membership import rendezvous
+
+FOLLOWING_STATES = (api.MemberState.ALIVE, api.MemberState.SUSPECT)
+
+
+@attrs.frozen
+class Roles:
+    """The groups that an entry follows on the platform.
+
+    Attributes:
+        watched: Groups that it watches.
+        polled: Groups that it reads at intervals.
+    """
+
+    watched: frozenset[int] = frozenset()
+    polled: frozenset[int] = frozenset()
+
+
+def roles(self_id: str, members: tuple[api.Member, ...]) -> Roles:
+    """Returns the roles of an entry, given the members that it knows."""
+    domains = {
+        each.entry_id: each.failure_domain
+        for each in members
+        if each.state in FOLLOWING_STATES or each.entry_id == self_id
+    }
+    domains.setdefault(self_id, "")
+    watched = set()
+    polled = set()
+    for group in range(groups.GROUP_COUNT):
+        watcher, poller = _pair(group, domains)
+        if watcher == self_id:
+            watched.add(group)
+        if poller == self_id:
+            polled.add(group)
+    return Roles(frozenset(watched), frozenset(polled))
+
+
+def _pair(group: int, domains: dict[str, str]) -> tuple[str, str]:
+    ranked = rendezvous.ranked(f"config/{group}", domains)
+    watcher = ranked[0]
+    others = ranked[1:] or ranked
+    for each in others:
+        if domains[each] != domains[watcher]:
+            return watcher, each
+    return watcher, others[0]
--- /dev/null
+++ b/src/lovageyoke/config/exchange.py
@@ -0,0 +1,146 @@
+"""Task that exchanges configuration with peers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+import anyio
+from loguru import logger
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.config import spread
+from lovageyoke.config import view as views
+from lovageyoke.errors import exceptions
+from lovageyoke.membership import api as membership_api
+from lovageyoke.peer import api
+
+PULL_INTERVAL_MS = 500.0
+PULL_TIMEOUT_MS = 1_000.0
+
+
+class PeerExchange:
+    """Sends new changes to peers and pulls what this entry lacks.
+
+    Attributes:
+        view: The configuration in force.
+        digests: What peers report of their configuration.
+    """
+
+    def __init__(
+        self,
+        view: views.ConfigView,
+        channel: api.PeerChannel,
+        *,
+        membership: membership_api.MembershipView,
+        clock: clock_api.Clock,
+        generator: random.Random,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self.view = view
+        self.digests = spread.PeerDigests()
+        self._channel = channel
+        self._membership = membership
+        self._clock = clock
+        self._random = generator
+        self._is_ready = is_ready
+        self._announced: dict[int, int] = {}
+        self._has_announced = anyio.Event()
+        channel.handle(spread.ConfigPull, self._answer_pull)
+        channel.handle(spread.ConfigPush, self._receive_push)
+
+    async def run(self) -> None:
+        """Exchanges configuration until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send_announced)
+            tasks.start_soon(self._pull_repeatedly)
+
+    def announce(self, group: int, base: int) -> None:
+        """Sends peers what has changed in a group since a sequence."""
+        self._announced.setdefault(group, base)
+        self._has_announced.set()
+
+    async def pull_from_some(self, count: int) -> bool:
+        """Pulls from up to ``count`` peers.
+
+        Returns:
+            Whether one of them knew a whole configuration.
+        """
+        others = sorted(self._others())
+        asked = self._random.sample(others, min(count, len(others)))
+        answers = [await self._pull(peer) for peer in asked]
+        return any(answers)
+
+    def _others(self) -> set[str]:
+        own_id = self._membership.self_id()
+        return spread.member_ids(self._membership) - {own_id}
+
+    async def _send_announced(self) -> None:
+        while True:
+            await self._has_announced.wait()
+            self._has_announced = anyio.Event()
+            announced, self._announced = self._announced, {}
+            for group, base in announced.items():
+                update = self.view.update_since(group, base)
+                own_id = self._membership.self_id()
+                await self._pass_on(spread.ConfigPush(own_id, update))
+
+    async def _pass_on(self, push: spread.ConfigPush) -> None:
+        key = f"{push.origin}/{push.update.group}/{push.update.sequence}"
+        targets = spread.children(
+            self._membership.self_id(),
+            push.origin,
+            key,
+            spread.member_ids(self._membership),
+        )
+        for entry_id in targets:
+            try:
+                await self._channel.send(entry_id, push)
+            except exceptions.PeerError as error:
+                logger.debug("push to {} failed: {}", entry_id, error.detail)
+
+    async def _receive_push(self, source: str, message: api.Message) -> None:
+        del source
+        if not isinstance(message, spread.ConfigPush):
+            return
+        spread.check(message.update)
+        if self.view.apply(message.update):
+            await self._pass_on(message)
+
+    async def _answer_pull(
+        self, source: str, message: api.Message
+    ) -> api.Message | None:
+        del source
+        if not isinstance(message, spread.ConfigPull):
+            return None
+        return spread.answer_pull(self.view, message, self._is_ready())
+
+    async def _pull_repeatedly(self) -> None:
+        while True:
+            interval_ms = self._random.uniform(0.5, 1.5) * PULL_INTERVAL_MS
+            await self._clock.sleep_ms(interval_ms)
+            own = spread.digest(self.view.sequences)
+            peer = self.digests.choose(own, self._others(), self._random)
+            if peer is not None and await self._pull(peer):
+                self.digests.settle(peer, spread.digest(self.view.sequences))
+
+    async def _pull(self, peer: str) -> bool:
+        """Takes all that a peer knows; returns whether it knew the whole."""
+        while True:
+            pull = spread.ConfigPull(tuple(self.view.sequences))
+            try:
+                reply = await self._channel.request(peer, pull, PULL_TIMEOUT_MS)
+                state = spread.as_state(reply)
+                progress = self._take(state)
+            except (exceptions.PeerError, exceptions.DecodeError) as error:
+                logger.debug("pull from {} failed: {}", peer, error.detail)
+                return False
+            if not (state.more and progress):
+                return state.ready
+
+    def _take(self, state: spread.ConfigState) -> bool:
+        progress = False
+        for update in state.updates:
+            spread.check(update)
+            progress |= self.view.apply(update)
+        return progress
--- /dev/null
+++ b/src/lovageyoke/config/spread.py
@@ -0,0 +1,188 @@
+"""Spread of configuration between entries; pure.
+
+A digest of all groups' sequences travels in heartbeats. An entry that learns
+of a change sends it down a tree over the members; one whose digest differs
+from a peer's pulls what it lacks, which repairs what the tree missed.
+"""
+
+from __future__ import annotations
+
+import random
+import struct
+
+import attrs
+import xxhash
+
+from lovageyoke.config import groups
+from lovageyoke.config import updates
+from lovageyoke.config import view
+from lovageyoke.errors import exceptions
+from lovageyoke.membership import api as membership_api
+from lovageyoke.membership import rendezvous
+from lovageyoke.peer import api
+
+FAN_OUT = 16
+MAX_SERVICES_IN_STATE = 200
+
+_PACKING = struct.Struct(f"<{groups.GROUP_COUNT}Q")
+
+
+@attrs.frozen
+class ConfigPush(api.Message):
+    """A change that an entry has learnt of.
+
+    Attributes:
+        origin: The entry that learnt of it from the platform.
+        update: The change.
+    """
+
+    origin: str
+    update: updates.GroupUpdate
+
+
+@attrs.frozen
+class ConfigPull(api.Message):
+    """Asks for what the sender lacks.
+
+    Attributes:
+        sequences: Sequence of each group that the sender knows.
+    """
+
+    sequences: tuple[int, ...]
+
+
+@attrs.frozen
+class ConfigState(api.Message):
+    """Answers a pull.
+
+    Attributes:
+        updates: Changes that the asking entry lacks.
+        ready: Whether the sender knows the whole configuration.
+        more: Whether a further pull would bring more.
+    """
+
+    updates: tuple[updates.GroupUpdate, ...]
+    ready: bool
+    more: bool
+
+
+MESSAGES = (ConfigPush, ConfigPull, ConfigState)
+
+
+def digest(sequences: list[int]) -> bytes:
+    """Returns an 8-byte digest of the groups' sequences."""
+    return xxhash.xxh64_digest(_PACKING.pack(*sequences))
+
+
+def answer_pull(
+    source: view.ConfigView, pull: ConfigPull, ready: bool
+) -> ConfigState:
+    """Returns what a pulling entry lacks, bounded by whole groups.
+
+    Raises:
+        DecodeError: The pull is malformed.
+    """
+    if len(pull.sequences) != groups.GROUP_COUNT:
+        raise exceptions.DecodeError("a pull has another number of groups")
+    found: list[updates.GroupUpdate] = []
+    size = 0
+    for group, known in enumerate(pull.sequences):
+        if source.sequences[group] <= known:
+            continue
+        if size >= MAX_SERVICES_IN_STATE:
+            return ConfigState(tuple(found), ready, more=True)
+        update = source.update_since(group, known)
+        found.append(update)
+        size += len(update.services)
+    return ConfigState(tuple(found), ready, more=False)
+
+
+def as_state(message: api.Message) -> ConfigState:
+    """Returns the reply to a pull.
+
+    Raises:
+        DecodeError: The message is another one.
+    """
+    if not isinstance(message, ConfigState):
+        raise exceptions.DecodeError("the reply to a pull is no ConfigState")
+    return message
+
+
+def member_ids(membership: membership_api.MembershipView) -> set[str]:
+    """Returns the ids of all members, this entry included."""
+    listed = {each.entry_id for each in membership.members()}
+    return listed | {membership.self_id()}
+
+
+def check(update: updates.GroupUpdate) -> None:
+    """Checks an update from a peer.
+
+    Raises:
+        DecodeError: Its group does not exist or is not its services' group.
+    """
+    if not 0 <= update.group < groups.GROUP_COUNT:
+        raise exceptions.DecodeError(f"group {update.group} does not exist")
+    for each in update.services:
+        if groups.group_of(each.name) != update.group:
+            raise exceptions.DecodeError(
+                f"service {each.name!r} is not in group {update.group}"
+            )
+
+
+def children(
+    self_id: str, origin: str, key: str, member_ids: set[str]
+) -> list[str]:
+    """Returns the members that an entry passes a change on to.
+
+    Args:
+        self_id: This entry.
+        origin: Root of the tree.
+        key: Names the change, so that each has a tree of its own.
+        member_ids: The members that this entry knows.
+    """
+    others = rendezvous.ranked(key, member_ids - {origin})
+    order = [origin, *others]
+    if self_id not in order:
+        return []
+    first = order.index(self_id) * FAN_OUT + 1
+    return order[first : first + FAN_OUT]
+
+
+class PeerDigests:
+    """Digests that peers have sent, and which of them is worth a pull.
+
+    Attributes:
+        seen: The last digest of each peer.
+    """
+
+    def __init__(self) -> None:
+        self.seen: dict[str, bytes] = {}
+        self._settled: dict[str, tuple[bytes, bytes]] = {}
+
+    def note(self, entry_id: str, peer_digest: bytes) -> None:
+        """Records the digest in a peer's heartbeat."""
+        self.seen[entry_id] = peer_digest
+
+    def settle(self, entry_id: str, own: bytes) -> None:
+        """Records that a pull from a peer brought all that it had."""
+        if entry_id in self.seen:
+            self._settled[entry_id] = (self.seen[entry_id], own)
+
+    def differing(self, own: bytes, members: set[str]) -> list[str]:
+        """Returns the members whose digest differs from this entry's."""
+        return sorted(
+            entry_id
+            for entry_id, peer_digest in self.seen.items()
+            if peer_digest != own and entry_id in members
+        )
+
+    def choose(
+        self, own: bytes, members: set[str], generator: random.Random
+    ) -> str | None:
+        """Returns a member that may know more, or None."""
+        candidates = [
+            entry_id
+            for entry_id in self.differing(own, members)
+            if self._settled.get(entry_id) != (self.seen[entry_id], own)
+        ]
+        return generator.choice(candidates) if candidates else None
--- a/src/lovageyoke/config/view.py
+++ b/src/lovageyoke/config/view.py
@@ -66,7 +66,7 @@
         self._routes = routes.RouteIndex()
         self._subscriptions: list[Subscription] = []
 
-    def apply(self, update: updates.GroupUpdate) -> frozenset[str]:
+    def apply(self, update: updates.GroupUpdate) -> bool:
         """Applies what is newer than what is known.
 
         Args:
@@ -74,7 +74,7 @@
                 nothing is missing between it and the update.
 
         Returns:
-            The names of the services that changed.
+            Whether any of it was new.
         """
         changed = frozenset(
             each.name
@@ -82,12 +82,13 @@
             if self._apply_service(update.group, each)
         )
         known = self.sequences[update.group]
-        if update.base <= known < update.sequence:
+        advanced = update.base <= known < update.sequence
+        if advanced:
             self.sequences[update.group] = update.sequence
         if changed:
             for subscription in self._subscriptions:
                 subscription.publish(changed)
-        return changed
+        return advanced or bool(changed)
 
     def update_since(self, group: int, base: int) -> updates.GroupUpdate:
         """Returns the changes of a group after a sequence."""
