--- /dev/null
+++ b/tests/config/test_follower.py
@@ -0,0 +1,165 @@
+"""Tests of followers in a fleet, in virtual time."""
+
+from __future__ import annotations
+
+import contextlib
+
+import anyio
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from lovageyoke.bench import config_fleet
+from lovageyoke.bench import propagation
+from lovageyoke.clock import virtual
+from lovageyoke.config import assignment
+from lovageyoke.config import groups
+from lovageyoke.config import intent
+from lovageyoke.config import model
+from lovageyoke.membership import api as membership_api
+from lovageyoke.platform import faults
+
+TARGET_MS = 6_000
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio", {"loop_factory": virtual.VirtualEventLoop}
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(size):
+    fleet = config_fleet.ConfigFleet(size, virtual.LoopClock(), seed=3)
+    async with anyio.create_task_group() as tasks:
+        started = anyio.Event()
+        tasks.start_soon(fleet.run, started)
+        await started.wait()
+        yield fleet
+        tasks.cancel_scope.cancel()
+
+
+async def confirm(fleet, host, by="entry-0"):
+    """Confirms a change that no entry is told of."""
+    service = model.Service("map", "t", (host,))
+    store = fleet.entries[by].store
+    plan = await store.plan(intent.Intent("map", service))
+    return await store.confirm(plan, "anna", force=True)
+
+
+def versions(fleet):
+    found = (each.view.service("map") for each in fleet.entries.values())
+    return [each.version if each else 0 for each in found]
+
+
+@pytest.mark.parametrize(
+    "condition",
+    [
+        propagation.Condition.HEALTHY,
+        propagation.Condition.SLOW,
+        propagation.Condition.DEAD_WATCHES_CONFIRMER_LOST,
+        propagation.Condition.OUTAGE_AFTER_CONFIRM,
+    ],
+)
+def test_changes_reach_every_entry_in_time(condition):
+    options = propagation.Options(changes=8, services=8)
+    result = propagation.measure(condition, options)
+    assertions.assert_that(
+        (result.missing, result.refused), matchers.Equals((0, 0))
+    )
+    assertions.assert_that(result.max_ms, matchers.LessThan(TARGET_MS))
+
+
+async def test_entry_without_peers_follows_all_groups(anyio_backend):
+    async with running_fleet(3) as fleet:
+        await fleet.wait_ready()
+        fleet.network.conditions.loss = 1.0
+        for entry in fleet.entries.values():
+            for other in fleet.members:
+                if other.entry_id != entry.entry_id:
+                    entry.membership.listed.pop(other.entry_id)
+        await confirm(fleet, "a.example")
+        await fleet.clock.sleep_ms(TARGET_MS)
+        assertions.assert_that(versions(fleet), matchers.Equals([1, 1, 1]))
+
+
+async def test_new_entry_starts_from_peers_in_an_outage(anyio_backend):
+    async with running_fleet(3) as fleet:
+        await fleet.wait_ready()
+        await confirm(fleet, "a.example")
+        await fleet.clock.sleep_ms(TARGET_MS)
+        replaced = fleet.start("entry-1")
+        fleet.set_faults(faults.Faults(outage=True))
+        with anyio.fail_after(10):
+            await replaced.follower.ready.wait()
+        assertions.assert_that(versions(fleet), matchers.Equals([1, 1, 1]))
+
+
+async def test_outage_without_peers_never_makes_an_entry_ready(anyio_backend):
+    async with running_fleet(3) as fleet:
+        fleet.set_faults(faults.Faults(outage=True))
+        await fleet.clock.sleep_ms(60_000)
+        ready = [e.follower.ready.is_set() for e in fleet.entries.values()]
+        assertions.assert_that(ready, matchers.Equals([False] * 3))
+
+
+async def test_changes_made_in_an_entrys_outage_arrive_after_it(anyio_backend):
+    async with running_fleet(3) as fleet:
+        await fleet.wait_ready()
+        cut = fleet.entries["entry-2"]
+        cut.injector.faults = faults.Faults(outage=True)
+        fleet.network.silent.add("entry-2")
+        await confirm(fleet, "a.example")
+        await fleet.clock.sleep_ms(20_000)
+        assertions.assert_that(versions(fleet), matchers.Equals([1, 1, 0]))
+        cut.injector.faults = faults.Faults()
+        fleet.network.heal()
+        await fleet.clock.sleep_ms(TARGET_MS)
+        assertions.assert_that(versions(fleet), matchers.Equals([1, 1, 1]))
+
+
+async def test_restart_neither_pushes_the_configuration_nor_reads_it_twice(
+    anyio_backend,
+):
+    async with running_fleet(4) as fleet:
+        await fleet.wait_ready()
+        await confirm(fleet, "a.example")
+        await fleet.clock.sleep_ms(TARGET_MS)
+        replaced = fleet.start("entry-3")
+        await replaced.follower.ready.wait()
+        assertions.assert_that(
+            replaced.follower.source.calls, matchers.Equals(groups.GROUP_COUNT)
+        )
+
+
+async def test_rollout_counts_the_entries_that_agree(anyio_backend):
+    async with running_fleet(3) as fleet:
+        await fleet.wait_ready()
+        await confirm(fleet, "a.example")
+        await fleet.clock.sleep_ms(TARGET_MS)
+        rollout = fleet.entries["entry-0"].follower.rollout()
+        assertions.assert_that(
+            (rollout.entries, rollout.current, rollout.differing),
+            matchers.Equals((3, 3, ())),
+        )
+
+
+def test_each_group_has_a_watcher_and_a_poller_in_two_domains():
+    members = tuple(
+        membership_api.Member(f"e{index}", 1, "", "", f"d{index % 3}")
+        for index in range(16)
+    )
+    roles = {
+        each.entry_id: assignment.roles(each.entry_id, members)
+        for each in members
+    }
+    watched = sorted(g for each in roles.values() for g in each.watched)
+    polled = sorted(g for each in roles.values() for g in each.polled)
+    everything = list(range(groups.GROUP_COUNT))
+    assertions.assert_that(
+        (watched, polled), matchers.Equals((everything, everything))
+    )
+    for member in members:
+        own = roles[member.entry_id]
+        assertions.assert_that(
+            own.watched & own.polled, matchers.Equals(frozenset())
+        )
