Demonstrate the whole system on loopback

Cause: a newcomer needs one command that shows the promises being kept, or names the one that broke. A waiting watch of the stand-in ends when its client is gone, which kept its server from stopping.

--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -5,12 +5,13 @@
 import os
 
 from lovageyoke.cli import app
+from lovageyoke.cli import demo
 from lovageyoke.cli import settings_check
 from lovageyoke.cli import standin_platform
 from lovageyoke.cli import standin_upstream
 from lovageyoke.cli import version
 
-COMMANDS = (settings_check, standin_platform, standin_upstream, version)
+COMMANDS = (demo, settings_check, standin_platform, standin_upstream, version)
 
 
 def main() -> None:
--- a/src/lovageyoke/entry/process.py
+++ b/src/lovageyoke/entry/process.py
@@ -9,11 +9,14 @@
 from lovageyoke.caller import app as caller_app
 from lovageyoke.caller import server as caller_server
 from lovageyoke.clock import api as clock_api
+from lovageyoke.config import follower as config_follower
 from lovageyoke.config import store as config_store
 from lovageyoke.config import view as config_view
 from lovageyoke.entry import listeners as listeners_lib
 from lovageyoke.entry import services
 from lovageyoke.idempotency import key_per_claim
+from lovageyoke.membership import api as membership_api
+from lovageyoke.membership import static
 from lovageyoke.platform import api as platform_api
 from lovageyoke.settings import model
 from lovageyoke.supervisor import child
@@ -48,6 +51,16 @@
         self.addresses = self.listeners.addresses()
         self.view = config_view.ConfigView()
         self.store = config_store.ConfigStore(platform, clock, rng)
+        self.membership = static.StaticMembership(
+            settings.entry.entry_id, (self._own_member(),)
+        )
+        self.follower = config_follower.ConfigFollower(
+            platform,
+            self.view,
+            membership=self.membership,
+            clock=clock,
+            generator=rng,
+        )
         self.transport = pool.PooledTransport(clock)
         self.claims = key_per_claim.KeyPerClaimLog(platform, clock)
         policies = services.Policies(settings.entry.failure_domain, rng)
@@ -62,6 +75,7 @@
         self.supervisor = tree.Supervisor(
             settings.entry.entry_id,
             (
+                child.Child("configuration", self.follower.run),
                 child.Child("transport", self.transport.run),
                 child.Child(
                     "callers",
@@ -83,6 +97,15 @@
         """Begins a graceful stop."""
         await self.supervisor.stop()
 
+    def _own_member(self) -> membership_api.Member:
+        return membership_api.Member(
+            self.settings.entry.entry_id,
+            self.clock.wall_ms(),
+            self.addresses.caller,
+            self.addresses.peer,
+            self.settings.entry.failure_domain,
+        )
+
     async def _serve_callers(self) -> None:
         options = caller_server.ServerOptions(
             graceful_s=self.settings.limits.shutdown_ms / MS_PER_SECOND
--- a/src/lovageyoke/serving/hosting.py
+++ b/src/lovageyoke/serving/hosting.py
@@ -17,6 +17,8 @@
 
 from lovageyoke.errors import exceptions
 
+App = types.ASGIApp
+
 BACKLOG = 1_024
 KEEP_ALIVE_S = 600.0
 KEEP_ALIVE_REQUESTS = 1_000_000_000
--- a/src/lovageyoke/standin/platform.py
+++ b/src/lovageyoke/standin/platform.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import json
 
+import anyio
 import cattrs
 from starlette import applications
 from starlette import requests
@@ -95,16 +96,23 @@
 
     async def watch(self, request: requests.Request) -> responses.Response:
         """Answers a watch."""
-        params = request.query_params
-        record = await self.platform.watch(
-            params["key"], int(params["revision"]), int(params["timeout_ms"])
-        )
+        record: api.Record | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_gone, request, tasks.cancel_scope)
+            record = await self._watch(request)
+            tasks.cancel_scope.cancel()
         if record is None:
             return responses.Response(
                 headers={wire.ANSWER_HEADER: wire.ANSWER_UNCHANGED}
             )
         return _record(record)
 
+    async def _watch(self, request: requests.Request) -> api.Record | None:
+        params = request.query_params
+        return await self.platform.watch(
+            params["key"], int(params["revision"]), int(params["timeout_ms"])
+        )
+
     async def grant_lease(
         self, request: requests.Request
     ) -> responses.Response:
@@ -156,6 +164,17 @@
         )
 
 
+async def _cancel_when_gone(
+    request: requests.Request, scope: anyio.CancelScope
+) -> None:
+    """Ends a waiting call whose client has closed the connection."""
+    while not await request.is_disconnected():
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            break
+    scope.cancel()
+
+
 def _route(path: str, endpoint: Endpoint, method: str) -> routing.Route:
     return routing.Route(path, endpoint, methods=[method])
 
