--- a/src/lovageyoke/caller/app.py
+++ b/src/lovageyoke/caller/app.py
@@ -73,9 +73,8 @@
     async def _forward(
         self, call: call_module.Call, receive: api.Receive, send: api.Send
     ) -> None:
-        claim = claimed.claim_of(call)
-        if claim is not None:
-            await self._claimed.forward(call, claim, send)
+        if call.claim is not None:
+            await self._claimed.forward(call, call.claim, send)
         elif not call.request.repeatable:
             with anyio.CancelScope(shield=True):
                 await self._forwarder.forward(call, send)
--- a/src/lovageyoke/caller/call.py
+++ b/src/lovageyoke/caller/call.py
@@ -5,7 +5,7 @@
 import attrs
 
 from lovageyoke.caller import routes
-from lovageyoke.idempotency import identity
+from lovageyoke.idempotency import api as claim_api
 from lovageyoke.transport import api as transport_api
 
 
@@ -16,7 +16,7 @@
     Attributes:
         route: Routing state of its service.
         request: The request as it goes to upstreams.
-        identified: The identity of an unrepeatable request, None for others.
+        claim: What to claim before the request is sent, None if nothing.
         deadline_ms: Monotonic time after which it is given up.
         may_have_run: Whether an attempt's outcome is unknown.
         excluded: Upstreams that were tried.
@@ -24,7 +24,7 @@
 
     route: routes.Route
     request: transport_api.Request
-    identified: identity.Identified | None
+    claim: claim_api.Claim | None
     deadline_ms: float
     may_have_run: bool = False
     excluded: set[str] = attrs.field(factory=set)
--- a/src/lovageyoke/caller/claimed.py
+++ b/src/lovageyoke/caller/claimed.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import uuid
-
 import anyio
 from loguru import logger
 
@@ -16,7 +14,6 @@
 from lovageyoke.errors import kinds
 from lovageyoke.errors import table
 from lovageyoke.idempotency import api as claim_api
-from lovageyoke.routing import api as routing_api
 
 Kind = kinds.ErrorKind
 Verdict = claim_api.Verdict
@@ -44,7 +41,7 @@
     async def forward(
         self, call: call_module.Call, claim: claim_api.Claim, send: api.Send
     ) -> None:
-        """Answers a claimed request.
+        """Answers a request that has to be claimed.
 
         Raises:
             AnswerAbortedError: The answer had begun.
@@ -68,19 +65,12 @@
         except exceptions.LovageyokeError as error:
             await self._settle(call, claim, error)
             raise
-        call.may_have_run = True
-        try:
-            start, is_whole = await _read_start(answer)
-        except exceptions.UpstreamError:
-            answer.end(routing_api.Result.FAILED)
-            await self._complete(claim, None)
-            raise
-        if is_whole:
+        if answer.is_whole:
             answer.end_whole()
-            await self._complete_and_send(claim, _stored(answer, start), send)
+            await self._complete_and_send(claim, _stored(answer), send)
             return
         try:
-            await _stream(answer, start, send)
+            await forward.stream(answer, send)
         finally:
             await self._complete(claim, None)
 
@@ -118,42 +108,9 @@
             logger.warning("claim completion failed: {}", failure.detail)
 
 
-async def _read_start(answer: dispatch.Answer) -> tuple[bytes, bool]:
-    """Returns up to the size that is kept, and whether that is all."""
-    start = b""
-    while len(start) <= claim_api.MAX_STORED_ANSWER_BYTES:
-        data = await answer.exchange.read()
-        if not data:
-            return start, True
-        start += data
-    return start, False
-
-
-def _stored(answer: dispatch.Answer, body: bytes) -> claim_api.StoredAnswer:
+def _stored(answer: dispatch.Answer) -> claim_api.StoredAnswer:
     kept = tuple(headers.to_caller(answer.head.headers))
-    return claim_api.StoredAnswer(answer.head.status, kept, body)
-
-
-async def _stream(
-    answer: dispatch.Answer, start: bytes, send: api.Send
-) -> None:
-    await forward.send_head(answer.head, send)
-    await forward.send_part(start, send)
-    await forward.stream_rest(answer, send)
-
-
-def claim_of(call: call_module.Call) -> claim_api.Claim | None:
-    """Returns the claim of a request, None when it needs none."""
-    identified = call.identified
-    if identified is None or identified.identity is None:
-        return None
-    return claim_api.Claim(
-        scope=identified.scope,
-        identity=identified.identity,
-        fingerprint=identified.fingerprint,
-        attempt_id=uuid.uuid4().hex,
-        retention_ms=identified.rule.retention_ms,
-    )
+    return claim_api.StoredAnswer(answer.head.status, kept, answer.start)
 
 
 async def send_stored(answer: claim_api.StoredAnswer, send: api.Send) -> None:
--- a/src/lovageyoke/caller/dispatch.py
+++ b/src/lovageyoke/caller/dispatch.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from lovageyoke.caller import call as call_module
+from lovageyoke.caller import headers
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
 from lovageyoke.errors import table
+from lovageyoke.idempotency import api as claim_api
 from lovageyoke.routing import api as routing_api
 from lovageyoke.transport import api as transport_api
 from lovageyoke.transport import load_header
@@ -14,6 +16,7 @@
 Kind = kinds.ErrorKind
 
 MAX_ATTEMPTS = 3
+EAGER_BYTES = 65_536
 _FAILED_STATUSES = frozenset((502, 503, 504))
 
 
@@ -67,6 +70,8 @@
         attempt: The attempt that it answers.
         exchange: The exchange that brings it.
         report: The load report that came with it.
+        start: The beginning of its body.
+        is_whole: Whether ``start`` is the whole body.
     """
 
     def __init__(
@@ -75,6 +80,8 @@
         self.attempt = attempt
         self.exchange = exchange
         self.report = load_header.report_of(exchange.head)
+        self.start = b""
+        self.is_whole = False
         self._latency_ms = attempt.elapsed_ms()
 
     @property
@@ -82,6 +89,19 @@
         """Status and headers of the answer."""
         return self.exchange.head
 
+    async def read_start(self, least_bytes: int) -> None:
+        """Reads the beginning of the body.
+
+        Args:
+            least_bytes: Reads more than this many bytes, or the whole body.
+        """
+        while len(self.start) <= least_bytes:
+            data = await self.exchange.read()
+            if not data:
+                self.is_whole = True
+                return
+            self.start += data
+
     def end(self, result: routing_api.Result) -> None:
         """Ends the exchange and tells the policy how it went."""
         self.exchange.close()
@@ -118,6 +138,21 @@
                     raise
         raise AssertionError("unreachable")
 
+    async def dispatch_rest(
+        self, call: call_module.Call, request: transport_api.Request
+    ) -> Answer:
+        """Dispatches a request for the rest of a call's answer.
+
+        The answer has begun within the call's deadline; each part of it gets
+        the service's own.
+        """
+        limit_ms = call.route.service.limits.deadline_ms
+        rest = call_module.Call(
+            call.route, request, None, self._clock.now_ms() + limit_ms
+        )
+        rest.excluded.update(call.excluded)
+        return await self.dispatch(rest)
+
     def _may_retry(
         self, call: call_module.Call, error: exceptions.LovageyokeError
     ) -> bool:
@@ -136,33 +171,35 @@
             LovageyokeError: The attempt failed.
         """
         attempt = self._choose(call)
+        answer: Answer | None = None
         target = call.route.targets[attempt.upstream_id]
         try:
             exchange = await self._transport.send(
                 target, call.request, call.deadline_ms
             )
+            answer = Answer(attempt, exchange)
+            self._accept(call, answer)
+            await answer.read_start(_eager_bytes(call, answer.head))
         except exceptions.LovageyokeError as error:
             if error.answer.outcome is table.Outcome.UNKNOWN:
                 call.may_have_run = True
-            attempt.end(routing_api.Result.FAILED)
+            _end(attempt, answer, _result_of(error))
             raise
         except BaseException:
-            attempt.end(routing_api.Result.CANCELLED)
+            _end(attempt, answer, routing_api.Result.CANCELLED)
             raise
-        return self._accept(call, Answer(attempt, exchange))
+        return answer
 
-    def _accept(self, call: call_module.Call, answer: Answer) -> Answer:
+    def _accept(self, call: call_module.Call, answer: Answer) -> None:
         report = answer.report
         if report is not None and report.draining:
             call.route.policy.drain(
                 answer.attempt.upstream_id, self._clock.now_ms()
             )
         if load_header.is_shed(answer.head):
-            answer.end(routing_api.Result.SHED)
             raise exceptions.UpstreamError(
                 "the upstream shed the request", Kind.UPSTREAM_SHED
             )
-        return answer
 
     def _choose(self, call: call_module.Call) -> Attempt:
         now_ms = self._clock.now_ms()
@@ -181,3 +218,36 @@
             )
         call.excluded.add(upstream_id)
         return Attempt(upstream_id, policy, self._clock)
+
+
+def _end(
+    attempt: Attempt, answer: Answer | None, result: routing_api.Result
+) -> None:
+    if answer is None:
+        attempt.end(result)
+    else:
+        answer.end(result)
+
+
+def _result_of(error: exceptions.LovageyokeError) -> routing_api.Result:
+    if error.kind is Kind.UPSTREAM_SHED:
+        return routing_api.Result.SHED
+    if isinstance(error, exceptions.AdmissionError):
+        return routing_api.Result.CANCELLED
+    return routing_api.Result.FAILED
+
+
+def _eager_bytes(
+    call: call_module.Call, head: transport_api.ResponseHead
+) -> int:
+    """Returns how much of a body to read before any of it is passed on.
+
+    A short body is read whole, so that its loss can be repaired or reported;
+    of a long one, so much as makes it likely that the rest will come.
+    """
+    if call.claim is not None:
+        return claim_api.MAX_STORED_ANSWER_BYTES
+    length = headers.length_of(head.headers)
+    if length is not None and length <= EAGER_BYTES:
+        return EAGER_BYTES
+    return 0
--- a/src/lovageyoke/caller/headers.py
+++ b/src/lovageyoke/caller/headers.py
@@ -32,6 +32,7 @@
     DEADLINE_HEADER,
 }
 _RESPONSE_DROPPED = _HOP_BY_HOP | {LOAD_HEADER, SHED_HEADER, OUTCOME_HEADER}
+_MAX_DIGITS = 18
 _LENGTH_EXPECTED = frozenset((b"POST", b"PUT", b"PATCH"))
 
 
@@ -43,6 +44,14 @@
     return b""
 
 
+def length_of(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Returns the Content-Length, None when absent or malformed."""
+    value = value_of(headers, b"content-length")
+    if not value.isdigit() or len(value) > _MAX_DIGITS:
+        return None
+    return int(value)
+
+
 def _named_by_connection(headers: Iterable[tuple[bytes, bytes]]) -> set[bytes]:
     return {
         token.strip().lower()
--- a/src/lovageyoke/caller/intake.py
+++ b/src/lovageyoke/caller/intake.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import uuid
+
+import attrs
+
 from lovageyoke.caller import api
 from lovageyoke.caller import body as body_module
 from lovageyoke.caller import call as call_module
@@ -11,6 +15,7 @@
 from lovageyoke.config import model
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
+from lovageyoke.idempotency import api as claim_api
 from lovageyoke.idempotency import identity
 from lovageyoke.transport import api as transport_api
 
@@ -55,11 +60,13 @@
         body = await body_module.read(receive, limits.max_body_bytes)
         allowed_ms = _allowed_ms(scope_headers, limits)
         request = _request_of(scope, body)
+        deadline_ms = start_ms + allowed_ms
         identified = _identify(route.service, scope, request)
-        if identified is not None:
-            request = _unrepeatable(request)
+        if identified is None:
+            return call_module.Call(route, request, None, deadline_ms)
+        request = attrs.evolve(request, repeatable=False)
         return call_module.Call(
-            route, request, identified, start_ms + allowed_ms
+            route, request, _claim_of(identified), deadline_ms
         )
 
     def _find_route(self, scope: api.Scope) -> routes.Route:
@@ -126,7 +133,13 @@
     )
 
 
-def _unrepeatable(request: transport_api.Request) -> transport_api.Request:
-    return transport_api.Request(
-        request.method, request.target, request.headers, request.body, False
+def _claim_of(identified: identity.Identified) -> claim_api.Claim | None:
+    if identified.identity is None:
+        return None
+    return claim_api.Claim(
+        scope=identified.scope,
+        identity=identified.identity,
+        fingerprint=identified.fingerprint,
+        attempt_id=uuid.uuid4().hex,
+        retention_ms=identified.rule.retention_ms,
     )
