Bound retries by the budget and the marks of the call chain

Cause: attempts were only counted, and a retry at each of 13 hops would have multiplied. A response with a transfer coding loses its Content-Length. An answer of unknown length is never streamed to an HTTP/1.0 caller, who would take a cut connection for its end.

--- /dev/null
+++ b/src/lovageyoke/caller/attempt.py
@@ -0,0 +1,114 @@
+"""An attempt at a request, and the answer that it brings."""
+
+from __future__ import annotations
+
+from lovageyoke.caller import headers
+from lovageyoke.clock import api as clock_api
+from lovageyoke.routing import api as routing_api
+from lovageyoke.transport import api as transport_api
+from lovageyoke.transport import load_header
+
+_FAILED_STATUSES = frozenset((502, 503, 504))
+
+
+class Attempt:
+    """One exchange that an upstream was chosen for.
+
+    Attributes:
+        upstream_id: The upstream.
+    """
+
+    def __init__(
+        self,
+        upstream_id: str,
+        policy: routing_api.RoutingPolicy,
+        clock: clock_api.Clock,
+    ) -> None:
+        self.upstream_id = upstream_id
+        self._policy: routing_api.RoutingPolicy | None = policy
+        self._clock = clock
+        self._start_ms = clock.now_ms()
+        policy.dispatched(upstream_id, self._start_ms)
+
+    def elapsed_ms(self) -> float:
+        """Returns the time since dispatch."""
+        return self._clock.now_ms() - self._start_ms
+
+    def end(
+        self,
+        result: routing_api.Result,
+        latency_ms: float | None = None,
+        report: routing_api.LoadReport | None = None,
+    ) -> None:
+        """Tells the policy once how the exchange ended."""
+        policy, self._policy = self._policy, None
+        if policy is None:
+            return
+        if latency_ms is None:
+            latency_ms = self.elapsed_ms()
+        policy.completed(
+            routing_api.Completion(
+                self.upstream_id, result, latency_ms, report
+            ),
+            self._clock.now_ms(),
+        )
+
+
+class Answer:
+    """An upstream's answer, whose body is still to be read.
+
+    Attributes:
+        attempt: The attempt that it answers.
+        exchange: The exchange that brings it.
+        report: The load report that came with it.
+        start: The beginning of its body.
+        is_whole: Whether ``start`` is the whole body.
+    """
+
+    def __init__(
+        self, attempt: Attempt, exchange: transport_api.Exchange
+    ) -> None:
+        self.attempt = attempt
+        self.exchange = exchange
+        self.report = load_header.report_of(exchange.head)
+        self.start = b""
+        self.is_whole = False
+        self._latency_ms = attempt.elapsed_ms()
+
+    def headers(self) -> list[tuple[bytes, bytes]]:
+        """Returns the headers for the caller."""
+        kept = headers.to_caller(self.head.headers)
+        if self.start and self.is_whole:
+            length = (b"content-length", str(len(self.start)).encode())
+            if headers.length_of(kept) is None:
+                kept.append(length)
+        return kept
+
+    @property
+    def head(self) -> transport_api.ResponseHead:
+        """Status and headers of the answer."""
+        return self.exchange.head
+
+    async def read_start(self, least_bytes: int) -> None:
+        """Reads the beginning of the body.
+
+        Args:
+            least_bytes: Reads more than this many bytes, or the whole body.
+        """
+        while len(self.start) <= least_bytes:
+            data = await self.exchange.read()
+            if not data:
+                self.is_whole = True
+                return
+            self.start += data
+
+    def end(self, result: routing_api.Result) -> None:
+        """Ends the exchange and tells the policy how it went."""
+        self.exchange.close()
+        self.attempt.end(result, self._latency_ms, self.report)
+
+    def end_whole(self) -> None:
+        """Ends an exchange whose answer has been read whole."""
+        failed = self.head.status in _FAILED_STATUSES
+        result = routing_api.Result.OK
+        self.end(routing_api.Result.FAILED if failed else result)
--- a/src/lovageyoke/caller/claimed.py
+++ b/src/lovageyoke/caller/claimed.py
@@ -6,10 +6,10 @@
 from loguru import logger
 
 from lovageyoke.caller import api
+from lovageyoke.caller import attempt
 from lovageyoke.caller import call as call_module
 from lovageyoke.caller import dispatch
 from lovageyoke.caller import forward
-from lovageyoke.caller import headers
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
 from lovageyoke.errors import table
@@ -108,8 +108,8 @@
             logger.warning("claim completion failed: {}", failure.detail)
 
 
-def _stored(answer: dispatch.Answer) -> claim_api.StoredAnswer:
-    kept = tuple(headers.to_caller(answer.head.headers))
+def _stored(answer: attempt.Answer) -> claim_api.StoredAnswer:
+    kept = tuple(answer.headers())
     return claim_api.StoredAnswer(answer.head.status, kept, answer.start)
 
 
--- a/src/lovageyoke/caller/forward.py
+++ b/src/lovageyoke/caller/forward.py
@@ -7,13 +7,12 @@
 import contextlib
 
 from lovageyoke.caller import api
+from lovageyoke.caller import attempt
 from lovageyoke.caller import call as call_module
 from lovageyoke.caller import dispatch
-from lovageyoke.caller import headers
 from lovageyoke.caller import resume
 from lovageyoke.errors import exceptions
 from lovageyoke.routing import api as routing_api
-from lovageyoke.transport import api as transport_api
 
 MAX_RESUMPTIONS = 16
 
@@ -41,14 +40,14 @@
             await stream(answer, send)
             return
         with _ending(answer):
-            await send_head(answer.head, send)
+            await send_head(answer, send)
         await self._download(call, splice, answer, send)
 
     async def _download(
         self,
         call: call_module.Call,
         splice: resume.Splice,
-        answer: dispatch.Answer,
+        answer: attempt.Answer,
         send: api.Send,
     ) -> None:
         for _ in range(MAX_RESUMPTIONS):
@@ -67,7 +66,7 @@
         call: call_module.Call,
         splice: resume.Splice,
         cause: AnswerAbortedError,
-    ) -> dispatch.Answer:
+    ) -> attempt.Answer:
         try:
             answer = await self._dispatcher.dispatch_rest(
                 call, splice.next_request()
@@ -80,20 +79,20 @@
         raise cause
 
 
-async def stream(answer: dispatch.Answer, send: api.Send) -> None:
+async def stream(answer: attempt.Answer, send: api.Send) -> None:
     """Streams an answer that is not resumed.
 
     Raises:
         AnswerAbortedError: The upstream didn't send the whole answer.
     """
     with _ending(answer):
-        await send_head(answer.head, send)
+        await send_head(answer, send)
     await _send_parts(answer, send, lambda _: None)
     await send_end(send)
 
 
 @contextlib.contextmanager
-def _ending(answer: dispatch.Answer) -> Iterator[None]:
+def _ending(answer: attempt.Answer) -> Iterator[None]:
     """Ends the exchange of an answer if the block raises."""
     try:
         yield
@@ -106,7 +105,7 @@
 
 
 async def _send_parts(
-    answer: dispatch.Answer,
+    answer: attempt.Answer,
     send: api.Send,
     on_sent: Callable[[int], None],
 ) -> None:
@@ -121,13 +120,13 @@
     answer.end_whole()
 
 
-async def send_head(head: transport_api.ResponseHead, send: api.Send) -> None:
+async def send_head(answer: attempt.Answer, send: api.Send) -> None:
     """Sends the status and headers of an answer."""
     await send(
         {
             "type": "http.response.start",
-            "status": head.status,
-            "headers": headers.to_caller(head.headers),
+            "status": answer.head.status,
+            "headers": answer.headers(),
         }
     )
 
--- a/src/lovageyoke/caller/headers.py
+++ b/src/lovageyoke/caller/headers.py
@@ -4,12 +4,11 @@
 
 from collections.abc import Iterable
 
+from lovageyoke.retry import marks as call_marks
 from lovageyoke.transport import api
+from lovageyoke.transport import load_header
 
-DEADLINE_HEADER = b"lovageyoke-deadline-ms"
 OUTCOME_HEADER = b"lovageyoke-outcome"
-LOAD_HEADER = b"lovageyoke-load"
-SHED_HEADER = b"lovageyoke-shed"
 
 _HOP_BY_HOP = frozenset(
     (
@@ -29,9 +28,14 @@
     b"expect",
     b"forwarded",
     b"http2-settings",
-    DEADLINE_HEADER,
+    *call_marks.HEADERS,
 }
-_RESPONSE_DROPPED = _HOP_BY_HOP | {LOAD_HEADER, SHED_HEADER, OUTCOME_HEADER}
+_RESPONSE_DROPPED = _HOP_BY_HOP | {
+    load_header.LOAD_HEADER,
+    load_header.SHED_HEADER,
+    OUTCOME_HEADER,
+}
+_CHUNKED_RESPONSE_DROPPED = _RESPONSE_DROPPED | {b"content-length"}
 _MAX_DIGITS = 18
 _LENGTH_EXPECTED = frozenset((b"POST", b"PUT", b"PATCH"))
 
@@ -94,4 +98,8 @@
 
 def to_caller(headers: api.Headers) -> list[tuple[bytes, bytes]]:
     """Returns the headers of a response to a caller."""
-    return _keep(headers, _RESPONSE_DROPPED)
+    dropped = _RESPONSE_DROPPED
+    if value_of(headers, b"transfer-encoding"):
+        # RFC 9112, section 6.1: the transfer coding overrides the length.
+        dropped = _CHUNKED_RESPONSE_DROPPED
+    return _keep(headers, dropped)
--- a/src/lovageyoke/caller/intake.py
+++ b/src/lovageyoke/caller/intake.py
@@ -17,11 +17,11 @@
 from lovageyoke.errors import kinds
 from lovageyoke.idempotency import api as claim_api
 from lovageyoke.idempotency import identity
+from lovageyoke.retry import marks as call_marks
 from lovageyoke.transport import api as transport_api
 
 Kind = kinds.ErrorKind
 
-_MAX_DIGITS = 9
 _IDEMPOTENT_METHODS = frozenset(
     (b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE", b"TRACE")
 )
@@ -58,15 +58,20 @@
             limits.max_body_bytes,
         )
         body = await body_module.read(receive, limits.max_body_bytes)
-        allowed_ms = _allowed_ms(scope_headers, limits)
+        marks = call_marks.parse(scope_headers)
         request = _request_of(scope, body)
-        deadline_ms = start_ms + allowed_ms
         identified = _identify(route.service, scope, request)
-        if identified is None:
-            return call_module.Call(route, request, None, deadline_ms)
-        request = attrs.evolve(request, repeatable=False)
+        claim = None
+        if identified is not None:
+            request = attrs.evolve(request, repeatable=False)
+            claim = _claim_of(identified)
         return call_module.Call(
-            route, request, _claim_of(identified), deadline_ms
+            route,
+            request,
+            claim,
+            call_marks.deadline_ms(marks, start_ms, limits.deadline_ms),
+            reads_chunks=scope["http_version"] != "1.0",
+            marks=marks,
         )
 
     def _find_route(self, scope: api.Scope) -> routes.Route:
@@ -87,19 +92,6 @@
         raise exceptions.CallerError("the request target must be a path")
 
 
-def _allowed_ms(
-    scope_headers: list[tuple[bytes, bytes]], limits: model.Limits
-) -> float:
-    value = headers.value_of(scope_headers, headers.DEADLINE_HEADER)
-    if value == b"":
-        return limits.deadline_ms
-    if not value.isdigit() or len(value) > _MAX_DIGITS:
-        raise exceptions.CallerError(
-            f"{headers.DEADLINE_HEADER.decode()} must be a whole number of ms"
-        )
-    return min(int(value), limits.deadline_ms)
-
-
 def _request_of(scope: api.Scope, body: bytes) -> transport_api.Request:
     method = scope["method"].encode("ascii")
     target = scope["raw_path"]
--- a/src/lovageyoke/caller/routes.py
+++ b/src/lovageyoke/caller/routes.py
@@ -7,6 +7,8 @@
 from lovageyoke.caller import api
 from lovageyoke.clock import api as clock_api
 from lovageyoke.config import model
+from lovageyoke.retry import budget as retry_budget
+from lovageyoke.retry import hedge
 from lovageyoke.routing import api as routing_api
 from lovageyoke.transport import api as transport_api
 
@@ -20,12 +22,16 @@
         service: The service.
         policy: Chooses among its upstreams.
         targets: Socket address of each upstream.
+        budget: Bounds its retries and hedges.
+        latency: Its recent latencies.
     """
 
     version: int
     service: model.Service
     policy: routing_api.RoutingPolicy
     targets: dict[str, transport_api.Target]
+    budget: retry_budget.RetryBudget
+    latency: hedge.RecentLatency
 
 
 class Routes:
@@ -45,17 +51,29 @@
             return None
         route = self.by_name.get(service.name)
         if route is None:
-            route = Route(-1, service, self._policies(service), {})
+            route = self._create(service)
             self.by_name[service.name] = route
         if versioned.version > route.version:
             self._update(route, versioned.version, service)
         return route
 
+    def _create(self, service: model.Service) -> Route:
+        now_ms = self._clock.now_ms()
+        return Route(
+            -1,
+            service,
+            self._policies(service),
+            {},
+            retry_budget.RetryBudget(now_ms),
+            hedge.RecentLatency(now_ms),
+        )
+
     def _update(
         self, route: Route, version: int, service: model.Service
     ) -> None:
         if service.routing != route.service.routing:
             route.policy = self._policies(service)
+        route.budget.ratio = service.limits.retry_ratio
         route.version = version
         route.service = service
         route.targets = {
--- a/src/lovageyoke/caller/server.py
+++ b/src/lovageyoke/caller/server.py
@@ -17,6 +17,8 @@
 from lovageyoke.transport import sockets
 
 BACKLOG = 1_024
+# A caller may pause in a download for this long.
+CALLER_UNACKNOWLEDGED_MS = 30_000
 KEEP_ALIVE_S = 75.0
 # Callers keep their connections; the number of requests on one has no bound.
 MAX_REQUESTS_PER_CONNECTION = 1 << 60
@@ -51,7 +53,7 @@
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sockets.set_liveness_options(sock)
+    sockets.set_liveness_options(sock, CALLER_UNACKNOWLEDGED_MS)
     sock.bind((address, port))
     sock.listen(BACKLOG)
     return sock
--- a/src/lovageyoke/transport/api.py
+++ b/src/lovageyoke/transport/api.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -56,6 +59,12 @@
     headers: Headers
 
 
+class ConnectionShareError(exceptions.UpstreamError):
+    """This entry's share of the upstream's connections is in use."""
+
+    default_kind = kinds.ErrorKind.CONNECT_FAILED
+
+
 class Exchange(abc.ABC):
     """One request and its response, on a connection that it owns.
 
@@ -98,8 +107,7 @@
         Raises:
             UpstreamError: Its kind tells whether any byte of the request was
                 written: CONNECT_FAILED and NOTHING_WRITTEN mean none was.
-            AdmissionError: This entry's share of the upstream's connections
-                is in use.
+            ConnectionShareError: No further connection may be opened.
         """
 
     @abc.abstractmethod
--- a/src/lovageyoke/transport/pool.py
+++ b/src/lovageyoke/transport/pool.py
@@ -138,7 +138,7 @@
         if state.total() < self.connection_share:
             return
         if not state.idle:
-            raise exceptions.AdmissionError(
+            raise api.ConnectionShareError(
                 "the upstream's connections are all in use"
             )
         state.idle.pop(0).close()
--- a/src/lovageyoke/transport/sockets.py
+++ b/src/lovageyoke/transport/sockets.py
@@ -18,18 +18,24 @@
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 3
-UNACKNOWLEDGED_MS = 3_000
+UNACKNOWLEDGED_MS = 5_000
 
 
-def set_liveness_options(sock: socket.socket) -> None:
-    """Makes the kernel end a connection whose other end has vanished."""
+def set_liveness_options(sock: socket.socket, unacknowledged_ms: int) -> None:
+    """Makes the kernel end a connection whose other end has vanished.
+
+    Args:
+        sock: A TCP socket.
+        unacknowledged_ms: How long sent bytes may stay unacknowledged, or the
+            peer's window closed.
+    """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
 
 
 async def connect(address: str, port: int) -> socket.socket:
@@ -44,7 +50,7 @@
         sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
-        set_liveness_options(sock)
+        set_liveness_options(sock, UNACKNOWLEDGED_MS)
         await _finish_connect(sock, address, port)
     except OSError as error:
         sock.close()
