--- a/src/lovageyoke/transport/pool.py
+++ b/src/lovageyoke/transport/pool.py
@@ -57,6 +57,7 @@
     Attributes:
         connection_share: Connections that this entry may hold to each
             upstream.
+        timers: Timers that ``run`` calls.
     """
 
     def __init__(
@@ -66,13 +67,13 @@
     ) -> None:
         self.connection_share = connection_share
         self._clock = clock
-        self._timers = timers.Timers(clock)
+        self.timers = timers.Timers(clock)
         self._states: dict[api.Target, TargetState] = {}
 
     async def run(self) -> None:
         """Watches deadlines and idle connections until it is cancelled."""
         self._sweep()
-        await self._timers.run()
+        await self.timers.run()
 
     def close(self) -> None:
         """Closes all idle connections."""
@@ -186,13 +187,17 @@
     ) -> T:
         """Returns the operation's result; raises ``error`` at the limit."""
         with anyio.CancelScope() as scope:
-            timer = self._timers.call_at(limit_ms, scope.cancel)
+            timer = self.timers.call_at(limit_ms, scope.cancel)
             try:
                 return await operation
             finally:
                 timer.cancel()
         raise error
 
+    def idle_connections(self) -> int:
+        """Returns the number of idle connections."""
+        return sum(len(state.idle) for state in self._states.values())
+
     def now_ms(self) -> float:
         """Returns the present time in milliseconds."""
         return self._clock.now_ms()
@@ -203,7 +208,7 @@
             self._close_aged(state, now_ms)
             if not state.total() and state.estimate.mean_ms is None:
                 del self._states[target]
-        self._timers.call_at(now_ms + SWEEP_MS, self._sweep)
+        self.timers.call_at(now_ms + SWEEP_MS, self._sweep)
 
     def _close_aged(self, state: TargetState, now_ms: float) -> None:
         oldest_ms = now_ms - MAX_IDLE_MS
--- a/src/lovageyoke/transport/timers.py
+++ b/src/lovageyoke/transport/timers.py
@@ -31,11 +31,15 @@
 
 
 class Timers:
-    """Calls callbacks when they are due, from a task that runs ``run``."""
+    """Calls callbacks when they are due, from a task that runs ``run``.
+
+    Attributes:
+        heap: Due time, order and timer of each; the earliest first.
+    """
 
     def __init__(self, clock: clock_api.Clock) -> None:
         self._clock = clock
-        self._heap: list[tuple[float, int, Timer]] = []
+        self.heap: list[tuple[float, int, Timer]] = []
         self._order = itertools.count()
         self._waiting: anyio.CancelScope | None = None
 
@@ -43,8 +47,8 @@
         """Arranges for a call at a monotonic time in milliseconds."""
         timer = Timer(due_ms, callback)
         entry = (due_ms, next(self._order), timer)
-        heapq.heappush(self._heap, entry)
-        if self._heap[0] is entry and self._waiting is not None:
+        heapq.heappush(self.heap, entry)
+        if self.heap[0] is entry and self._waiting is not None:
             self._waiting.cancel()
         return timer
 
@@ -57,8 +61,8 @@
 
     def _call_due(self) -> None:
         now_ms = self._clock.now_ms()
-        while self._heap and self._is_over(self._heap[0][2], now_ms):
-            timer = heapq.heappop(self._heap)[2]
+        while self.heap and self._is_over(self.heap[0][2], now_ms):
+            timer = heapq.heappop(self.heap)[2]
             callback, timer.callback = timer.callback, None
             if callback is not None:
                 callback()
@@ -67,7 +71,7 @@
         return timer.callback is None or timer.due_ms <= now_ms
 
     async def _wait(self) -> None:
-        if not self._heap:
+        if not self.heap:
             await anyio.sleep_forever()
-        wait_ms = self._heap[0][0] - self._clock.now_ms()
+        wait_ms = self.heap[0][0] - self._clock.now_ms()
         await self._clock.sleep_ms(wait_ms)
--- a/tests/caller/test_app.py
+++ b/tests/caller/test_app.py
@@ -51,6 +51,24 @@
     assertions.assert_that(upstream.requests, matchers.HasLength(1))
 
 
+@pytest.mark.anyio
+async def test_a_request_of_which_one_attempt_is_unknown_is_unknown():
+    async def script(peer):
+        await peer.request()
+        peer.reset()
+
+    upstream = scripted_upstream.ScriptedUpstream(script)
+    async with path.running(upstream, path.refused_port()) as entry:
+        answer = await entry.client.get("/map")
+    assertions.assert_that(
+        answer.json()["type"],
+        matchers.Equals("urn:lovageyoke:error:connect-failed"),
+    )
+    assertions.assert_that(
+        answer.headers["lovageyoke-outcome"], matchers.Equals("unknown")
+    )
+
+
 @pytest.mark.anyio
 async def test_a_body_over_the_limit_is_refused():
     upstream = scripted_upstream.ScriptedUpstream()
--- a/tests/fakes/memory_claims.py
+++ b/tests/fakes/memory_claims.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import anyio
+
 from lovageyoke.errors import exceptions
 from lovageyoke.idempotency import api
 
@@ -14,6 +16,7 @@
         self.answers: dict[tuple[str, str], api.StoredAnswer | None] = {}
         self.released: list[api.Claim] = []
         self.outage = False
+        self._completed = anyio.Event()
 
     async def claim(self, claim):
         if self.outage:
@@ -33,6 +36,10 @@
 
     async def complete(self, claim, answer):
         self.answers[claim.scope, claim.identity] = answer
+        self._completed.set()
+
+    async def until_completed(self):
+        await self._completed.wait()
 
     async def release(self, claim):
         del self.claimed[claim.scope, claim.identity]
--- a/tests/fakes/path.py
+++ b/tests/fakes/path.py
@@ -7,6 +7,7 @@
 import socket
 
 import anyio
+import anyio.lowlevel
 import attrs
 import httpx
 
@@ -45,6 +46,22 @@
     client: httpx.AsyncClient
     tasks: anyio.abc.TaskGroup
     stop: anyio.Event
+    received: int = 0
+
+    async def until_received(self, count: int) -> None:
+        """Waits until the caller has ``count`` bytes of its answer."""
+        while self.received != count:
+            await anyio.lowlevel.checkpoint()
+
+    async def until_timer(self, after_ms: float) -> None:
+        """Waits until the transport has a timer due ``after_ms`` from now."""
+        due_ms = self.clock.now_ms() + after_ms
+        timers = self.transport.timers
+        while not any(
+            timer.callback is not None and timer.due_ms == due_ms
+            for _, _, timer in timers.heap
+        ):
+            await anyio.lowlevel.checkpoint()
 
     async def connect(self) -> anyio.abc.SocketStream:
         return await anyio.connect_tcp("127.0.0.1", self.port)
--- a/tests/fakes/scripted_upstream.py
+++ b/tests/fakes/scripted_upstream.py
@@ -31,10 +31,9 @@
                 self.parser.receive_data(await self.receive())
             elif isinstance(event, h11.Request):
                 head = event
-                self.upstream.requests.append(event)
             elif isinstance(event, h11.EndOfMessage):
-                self.upstream.arrived.set()
-                self.upstream.arrived = anyio.Event()
+                self.upstream.requests.append(head)
+                self.upstream.changed()
                 # Answers are scripted bytes, so each request is parsed anew.
                 self.parser = h11.Connection(h11.SERVER)
                 return head
@@ -59,10 +58,10 @@
         self.sock.close()
 
     async def until_closed(self) -> None:
-        """Waits for the other end to close, and reads nothing else."""
+        """Waits for the other end to close, and leaves all unanswered."""
         while await self.receive():
-            pass
-        self.upstream.closed.set()
+            self.upstream.unread += 1
+            self.upstream.changed()
 
 
 Script = Callable[[Peer], Awaitable[None]]
@@ -82,12 +81,23 @@
         self.scripts = list(scripts) or [answer_all]
         self.requests: list[h11.Request] = []
         self.connections = 0
-        self.arrived = anyio.Event()
-        self.closed = anyio.Event()
+        self.ended = 0
+        self.unread = 0
+        self._changed = anyio.Event()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.listener.setblocking(False)
         self.port = self.listener.getsockname()[1]
 
+    def changed(self) -> None:
+        """Makes ``until`` look again."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Waits until a condition on this upstream holds."""
+        while not condition():
+            await self._changed.wait()
+
     async def run(self) -> None:
         async with anyio.create_task_group() as tasks:
             with self.listener:
@@ -98,9 +108,12 @@
                     last = len(self.scripts) - 1
                     script = self.scripts[min(self.connections, last)]
                     self.connections += 1
+                    self.changed()
                     tasks.start_soon(self._follow, script, Peer(sock, self))
 
     async def _follow(self, script: Script, peer: Peer) -> None:
         with contextlib.suppress(EOFError, OSError, h11.RemoteProtocolError):
             await script(peer)
         peer.sock.close()
+        self.ended += 1
+        self.changed()
