Set the liveness options of callers' connections where they are served

Cause: the options gained an argument that another caller of the function didn't give, and a pause of 3 s by a caller would have ended its download. Conclusion: one place decides for callers.

--- a/src/lovageyoke/caller/server.py
+++ b/src/lovageyoke/caller/server.py
@@ -46,14 +46,10 @@
 
 
 def listen(address: str, port: int) -> socket.socket:
-    """Returns a listening socket; port 0 takes an ephemeral port.
-
-    Connections inherit its liveness options.
-    """
+    """Returns a listening socket; port 0 takes an ephemeral port."""
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sockets.set_liveness_options(sock, CALLER_UNACKNOWLEDGED_MS)
     sock.bind((address, port))
     sock.listen(BACKLOG)
     return sock
@@ -97,6 +93,8 @@
         options: How connections are treated.
     """
     config = configure(listener, options or ServerOptions())
+    # Connections inherit the options of their listener.
+    sockets.set_liveness_options(listener, CALLER_UNACKNOWLEDGED_MS)
     # The server library takes ownership of the file descriptor.
     listener.detach()
     stopping = anyio.Event()
--- a/src/lovageyoke/transport/sockets.py
+++ b/src/lovageyoke/transport/sockets.py
@@ -21,7 +21,9 @@
 UNACKNOWLEDGED_MS = 5_000
 
 
-def set_liveness_options(sock: socket.socket, unacknowledged_ms: int) -> None:
+def set_liveness_options(
+    sock: socket.socket, unacknowledged_ms: int = UNACKNOWLEDGED_MS
+) -> None:
     """Makes the kernel end a connection whose other end has vanished.
 
     Args:
@@ -50,7 +52,7 @@
         sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
-        set_liveness_options(sock, UNACKNOWLEDGED_MS)
+        set_liveness_options(sock)
         await _finish_connect(sock, address, port)
     except OSError as error:
         sock.close()
