--- a/src/lovageyoke/caller/intake.py
+++ b/src/lovageyoke/caller/intake.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import uuid
+
+import attrs
+
 from lovageyoke.caller import api
 from lovageyoke.caller import body as body_module
 from lovageyoke.caller import call as call_module
@@ -11,12 +15,13 @@
 from lovageyoke.config import model
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
+from lovageyoke.idempotency import api as claim_api
 from lovageyoke.idempotency import identity
+from lovageyoke.retry import marks as call_marks
 from lovageyoke.transport import api as transport_api
 
 Kind = kinds.ErrorKind
 
-_MAX_DIGITS = 9
 _IDEMPOTENT_METHODS = frozenset(
     (b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE", b"TRACE")
 )
@@ -53,13 +58,20 @@
             limits.max_body_bytes,
         )
         body = await body_module.read(receive, limits.max_body_bytes)
-        allowed_ms = _allowed_ms(scope_headers, limits)
+        marks = call_marks.parse(scope_headers)
         request = _request_of(scope, body)
         identified = _identify(route.service, scope, request)
+        claim = None
         if identified is not None:
-            request = _unrepeatable(request)
+            request = attrs.evolve(request, repeatable=False)
+            claim = _claim_of(identified)
         return call_module.Call(
-            route, request, identified, start_ms + allowed_ms
+            route,
+            request,
+            claim,
+            call_marks.deadline_ms(marks, start_ms, limits.deadline_ms),
+            reads_chunks=scope["http_version"] != "1.0",
+            marks=marks,
         )
 
     def _find_route(self, scope: api.Scope) -> routes.Route:
@@ -80,19 +92,6 @@
         raise exceptions.CallerError("the request target must be a path")
 
 
-def _allowed_ms(
-    scope_headers: list[tuple[bytes, bytes]], limits: model.Limits
-) -> float:
-    value = headers.value_of(scope_headers, headers.DEADLINE_HEADER)
-    if value == b"":
-        return limits.deadline_ms
-    if not value.isdigit() or len(value) > _MAX_DIGITS:
-        raise exceptions.CallerError(
-            f"{headers.DEADLINE_HEADER.decode()} must be a whole number of ms"
-        )
-    return min(int(value), limits.deadline_ms)
-
-
 def _request_of(scope: api.Scope, body: bytes) -> transport_api.Request:
     method = scope["method"].encode("ascii")
     target = scope["raw_path"]
@@ -126,7 +125,13 @@
     )
 
 
-def _unrepeatable(request: transport_api.Request) -> transport_api.Request:
-    return transport_api.Request(
-        request.method, request.target, request.headers, request.body, False
+def _claim_of(identified: identity.Identified) -> claim_api.Claim | None:
+    if identified.identity is None:
+        return None
+    return claim_api.Claim(
+        scope=identified.scope,
+        identity=identified.identity,
+        fingerprint=identified.fingerprint,
+        attempt_id=uuid.uuid4().hex,
+        retention_ms=identified.rule.retention_ms,
     )
