--- a/src/lovageyoke/config/store.py
+++ b/src/lovageyoke/config/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 
 import attrs
@@ -12,6 +13,7 @@
 from lovageyoke.config import document
 from lovageyoke.config import groups
 from lovageyoke.config import intent
+from lovageyoke.config import model
 from lovageyoke.config import plan as plans
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
@@ -22,6 +24,9 @@
 MAX_RETRY_MS = 500.0
 MAX_SEARCHED_SEGMENTS = 16
 
+Guard = Callable[[model.Service | None], None]
+"""Raises OperatorError if a service's present content may not be seen."""
+
 
 @attrs.frozen
 class GroupState:
@@ -78,28 +83,48 @@
         current = document.decode_document(record.value)
         return GroupState(group, current, record.revision)
 
-    async def plan(self, wanted: intent.Intent) -> plans.Plan:
+    async def plan(
+        self, wanted: intent.Intent, guard: Guard | None = None
+    ) -> plans.Plan:
         """Returns the plan that an intent amounts to now.
 
+        Args:
+            wanted: The intent.
+            guard: Checks access to the service as it is.
+
         Raises:
             IntentError: There is nothing to change.
             PlatformUnavailableError: The platform does not answer.
         """
         state = await self.read_group(groups.group_of(wanted.name))
-        return plans.make(wanted, state.document.entry(wanted.name))
+        entry = state.document.entry(wanted.name)
+        if guard is not None:
+            guard(entry.service)
+        return plans.make(wanted, entry)
 
-    async def undo(self, name: str) -> plans.Plan:
+    async def undo(self, name: str, guard: Guard | None = None) -> plans.Plan:
         """Returns the plan that undoes the last change of a service.
 
+        Args:
+            name: The service.
+            guard: Checks access to the service as it is.
+
         Raises:
             OperatorError: Kind NOT_FOUND when there is no such service.
             PlatformUnavailableError: The platform does not answer.
         """
         state = await self.read_group(groups.group_of(name))
-        return plans.undo_of(name, state.document.entry(name))
+        entry = state.document.entry(name)
+        if guard is not None:
+            guard(entry.service)
+        return plans.undo_of(name, entry)
 
     async def confirm(
-        self, plan: plans.Plan, operator: str, force: bool = False
+        self,
+        plan: plans.Plan,
+        operator: str,
+        force: bool = False,
+        guard: Guard | None = None,
     ) -> Confirmed:
         """Puts a plan in force; repeating it is harmless.
 
@@ -107,6 +132,7 @@
             plan: The plan.
             operator: Name of the operator, for the audit record.
             force: Whether to apply a plan that can't work.
+            guard: Checks access to the service as it is.
 
         Raises:
             IntentError: The plan can't work, or is not what it says.
@@ -119,7 +145,7 @@
         confirmation = change.Confirmation(
             operator, self.clock.wall_ms(), force
         )
-        attempt = _Attempt(self.platform, plan, confirmation)
+        attempt = _Attempt(self.platform, plan, confirmation, guard)
         for number in range(MAX_ATTEMPTS):
             confirmed = await attempt.run()
             if confirmed is not None:
@@ -145,10 +171,12 @@
         platform: api.Platform,
         plan: plans.Plan,
         confirmation: change.Confirmation,
+        guard: Guard | None,
     ) -> None:
         self.platform = platform
         self.plan = plan
         self.confirmation = confirmation
+        self.guard = guard
         self.group = groups.group_of(plan.name)
         self.unsettled_revision: int | None = None
         self._last_error: exceptions.PlatformError | None = None
@@ -157,6 +185,8 @@
         """Tries once; returns None if it should be tried again."""
         try:
             state = await self._read()
+            if self.guard is not None:
+                self.guard(state.document.entry(self.plan.name).service)
             confirmed = await self._find_earlier(state)
             return confirmed or await self._write(state)
         except exceptions.RevisionConflictError as error:
--- a/src/lovageyoke/platform/rates.py
+++ b/src/lovageyoke/platform/rates.py
@@ -45,17 +45,25 @@
     )
     updated_ms: float | None = None
 
+    def has_token(self, now_ms: float) -> bool:
+        """Returns whether a token could be taken."""
+        self._refill(now_ms)
+        return self.tokens >= 1
+
     def take(self, now_ms: float) -> bool:
         """Takes one token; returns False if there is none."""
+        self._refill(now_ms)
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+    def _refill(self, now_ms: float) -> None:
         if self.updated_ms is not None:
             elapsed_ms = max(0.0, now_ms - self.updated_ms)
             earned = elapsed_ms * self.rate_per_s / MS_PER_SECOND
             self.tokens = min(self.capacity, self.tokens + earned)
         self.updated_ms = now_ms
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
 
 
 class CallCounter:
