--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -4,13 +4,34 @@
 
 import os
 
+from lovageyoke.cli import addresses
 from lovageyoke.cli import app
+from lovageyoke.cli import audit
+from lovageyoke.cli import confirm
+from lovageyoke.cli import drain
+from lovageyoke.cli import plan
+from lovageyoke.cli import services
 from lovageyoke.cli import settings_check
 from lovageyoke.cli import standin_platform
 from lovageyoke.cli import standin_upstream
+from lovageyoke.cli import status
+from lovageyoke.cli import undo
 from lovageyoke.cli import version
 
-COMMANDS = (settings_check, standin_platform, standin_upstream, version)
+COMMANDS = (
+    addresses,
+    audit,
+    confirm,
+    drain,
+    plan,
+    services,
+    settings_check,
+    standin_platform,
+    standin_upstream,
+    status,
+    undo,
+    version,
+)
 
 
 def main() -> None:
