--- a/src/lovageyoke/config/difference.py
+++ b/src/lovageyoke/config/difference.py
@@ -6,23 +6,39 @@
 from collections.abc import Mapping
 from typing import Any
 
+import attrs
+
 from lovageyoke.config import document
 from lovageyoke.config import model
 
 Change = document.FieldChange
 
 
+@attrs.frozen
+class Flat:
+    """A service's content by the names of its fields.
+
+    Attributes:
+        values: Texts of single fields.
+        items: Fields of upstreams and rules, by the item's name.
+    """
+
+    values: Mapping[str, str] = attrs.field(factory=dict)
+    items: Mapping[str, Mapping[str, str]] = attrs.field(factory=dict)
+
+
 def changes(
     before: model.Service | None, after: model.Service | None
 ) -> tuple[document.FieldChange, ...]:
     """Returns the fields that differ, in order of their names."""
-    old = dict(_flatten(before))
-    new = dict(_flatten(after))
-    return tuple(
-        Change(path, old.get(path, ""), new.get(path, ""))
-        for path in sorted(old.keys() | new.keys())
-        if old.get(path, "") != new.get(path, "")
-    )
+    old = _flatten(before)
+    new = _flatten(after)
+    found = list(_value_changes("", old.values, new.values))
+    for path in old.items.keys() | new.items.keys():
+        found.extend(
+            _item_changes(path, old.items.get(path), new.items.get(path))
+        )
+    return tuple(sorted(found, key=lambda each: each.path))
 
 
 def words(change: document.FieldChange) -> str:
@@ -34,31 +50,53 @@
     return f"change {change.path}: {change.before} -> {change.after}"
 
 
-def _flatten(service: model.Service | None) -> Iterator[tuple[str, str]]:
+def _value_changes(
+    prefix: str, old: Mapping[str, str], new: Mapping[str, str]
+) -> Iterator[document.FieldChange]:
+    for key in old.keys() | new.keys():
+        before = old.get(key, "")
+        after = new.get(key, "")
+        if before != after:
+            yield Change(f"{prefix}{key}", before, after)
+
+
+def _item_changes(
+    path: str, old: Mapping[str, str] | None, new: Mapping[str, str] | None
+) -> Iterator[document.FieldChange]:
+    if old is not None and new is not None:
+        yield from _value_changes(f"{path}.", old, new)
+    else:
+        yield Change(path, _compact(old or {}), _compact(new or {}))
+
+
+def _flatten(service: model.Service | None) -> Flat:
     if service is None:
-        return
+        return Flat()
     table = document.CONVERTER.unstructure(service)
+    items: dict[str, Mapping[str, str]] = {}
     for upstream in table.pop("upstreams"):
         path = f"upstreams[{upstream.pop('upstream_id')}]"
-        yield path, _compact(upstream)
+        items[path] = _texts(upstream)
     for index, rule in enumerate(table.pop("unrepeatable")):
-        yield f"unrepeatable[{index}]", _compact(rule)
-    yield from _leaves("", table)
+        items[f"unrepeatable[{index}]"] = _texts(rule)
+    return Flat(dict(_leaves("", table)), items)
+
+
+def _leaves(path: str, table: Mapping[str, Any]) -> Iterator[tuple[str, str]]:
+    for key, value in table.items():
+        full_path = f"{path}{key}"
+        if isinstance(value, Mapping):
+            yield from _leaves(f"{full_path}.", value)
+        elif _text(value):
+            yield full_path, _text(value)
 
 
-def _leaves(path: str, value: Any) -> Iterator[tuple[str, str]]:  # noqa: ANN401
-    if isinstance(value, Mapping):
-        for key, item in value.items():
-            yield from _leaves(f"{path}.{key}" if path else key, item)
-        return
-    text = _text(value)
-    if text:
-        yield path, text
+def _texts(table: Mapping[str, Any]) -> dict[str, str]:
+    return {key: _text(value) for key, value in table.items() if _text(value)}
 
 
-def _compact(table: Mapping[str, Any]) -> str:
-    parts = (f"{key} {_text(value)}" for key, value in table.items())
-    return ", ".join(parts)
+def _compact(texts: Mapping[str, str]) -> str:
+    return ", ".join(f"{key} {text}" for key, text in texts.items())
 
 
 def _text(value: object) -> str:
