Soak the claim log under faults in virtual time

Cause: takeovers, lost answers and late messages meet in ways that single tests don't cause. Change: the soak command runs the real owners and forwarding over a platform whose writes outlive their callers, a lossy network, entries that pause, crash and are replaced, and views that lag and disagree; invariants are checked at each step. Ruled out: stepping pure objects by a scheduler of its own, because it would leave the tasks that do the I/O untested; the virtual event loop runs them reproducibly. A crashed entry had to stop at its interfaces before its tasks are cancelled, else the order of cancellation showed in the digest.

--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -6,11 +6,12 @@
 
 from lovageyoke.cli import app
 from lovageyoke.cli import settings_check
+from lovageyoke.cli import soak
 from lovageyoke.cli import standin_platform
 from lovageyoke.cli import standin_upstream
 from lovageyoke.cli import version
 
-COMMANDS = (settings_check, standin_platform, standin_upstream, version)
+COMMANDS = (settings_check, soak, standin_platform, standin_upstream, version)
 
 
 def main() -> None:
--- a/src/lovageyoke/idempotency/service.py
+++ b/src/lovageyoke/idempotency/service.py
@@ -23,6 +23,7 @@
 ASK_TIMEOUT_MS = 500.0
 MIN_RETRY_DELAY_MS = 10.0
 MAX_RETRY_DELAY_MS = 200.0
+MAX_DELIVERY_DELAY_MS = 5_000.0
 DELIVERY_TIMEOUT_MS = 600_000.0
 MAX_DELIVERIES = 10_000
 MS_PER_SECOND = 1_000.0
@@ -174,6 +175,9 @@
             after it.
         """
         deadline_ms = self.clock.now_ms() + timeout_ms
+        max_delay_ms = MAX_RETRY_DELAY_MS
+        if timeout_ms > CLAIM_TIMEOUT_MS:
+            max_delay_ms = MAX_DELIVERY_DELAY_MS
         delay_ms = MIN_RETRY_DELAY_MS
         in_doubt = False
         hint = ""
@@ -198,7 +202,7 @@
             else:
                 in_doubt = in_doubt or target is not None
             await self.clock.sleep_ms(delay_ms * self.rng.uniform(0.5, 1.0))
-            delay_ms = min(MAX_RETRY_DELAY_MS, delay_ms * 2)
+            delay_ms = min(max_delay_ms, delay_ms * 2)
 
     async def _ask_once(
         self, target: str, request: messages.Request, left_ms: float
--- /dev/null
+++ b/src/lovageyoke/soak/__init__.py
@@ -0,0 +1,3 @@
+"""Long randomised runs in virtual time with invariants asserted inside."""
+
+from __future__ import annotations
