Repeat some peer messages much later in the soak

Change: one message in twenty is sent again up to 5 s later. Conclusion: late copies are the fault that attempt ids are for, so they stay on at all times.

--- a/src/lovageyoke/soak/fleet.py
+++ b/src/lovageyoke/soak/fleet.py
@@ -28,25 +28,41 @@
 ENTRY_COUNT = 5
 SHARD_COUNT = 3
 MAX_VIEW_LAG_MS = 3_000.0
+LATE_COPY_SHARE = 0.05
+MAX_LATE_COPY_MS = 5_000.0
 MS_PER_SECOND = 1_000.0
 
 
 class TracedNetwork(fake_peer.FakeNetwork):
-    """Records each message as a step.
+    """Records each message as a step, and repeats some much later.
 
     Attributes:
         trace: The trace.
+        rng: Chooses the messages that are repeated.
+        tasks: Where the repeats wait.
     """
 
     trace: trace_lib.Trace
+    rng: random.Random
+    tasks: anyio.abc.TaskGroup
 
     def post_request(
         self, source: str, target: str, message: peer_api.Message
     ) -> fake_peer.Waiter:
         """Sends a message and returns what will hold its reply."""
         self.trace.step("message", source, target, type(message).__name__)
+        if self.rng.random() < LATE_COPY_SHARE:
+            self.trace.fault("late copy of a message")
+            self.tasks.start_soon(self._repeat, source, target, message)
         return super().post_request(source, target, message)
 
+    async def _repeat(
+        self, source: str, target: str, message: peer_api.Message
+    ) -> None:
+        delay_ms = self.rng.uniform(0, MAX_LATE_COPY_MS)
+        await anyio.sleep(delay_ms / MS_PER_SECOND)
+        super().post_request(source, target, message)
+
 
 class Fleet:
     """Starts, crashes and replaces entries.
@@ -82,6 +98,8 @@
             codec.Codec(messages.TYPES),
         )
         self.network.trace = self.trace
+        self.network.rng = self.rng
+        self.network.tasks = tasks
         self.entries: dict[str, entry_lib.SoakEntry] = {}
         self.serial = 0
         self._members: dict[str, membership_api.Member] = {}
