Hold one probe budget for the whole fleet, and pool free reports

Cause: a token bucket allows its rate and its burst within one window, and fractions of a probe can fall into the same second on all entries. The pool policy ages reports, limits their reuse, ejects outliers above a floor, starts cold upstreams slowly and prefers its own failure domain. Figures: over seeded joins, deaths, restarts and pauses no window of a second exceeds budgets of 12, 3 and 0.4 probes a second; a share that skips the wait after a start, one that rounds up and one that grows at once are each caught. Conclusion: a restart costs a window without probes, and a change of members costs the remainder for ten seconds.

--- /dev/null
+++ b/src/lovageyoke/probing/counters.py
@@ -0,0 +1,26 @@
+"""Counts of probes for metrics."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define
+class ProbeCounters:
+    """What probing one service has cost since the start.
+
+    Attributes:
+        sent: Probes sent.
+        answered: Probes that brought a report.
+        failed: Probes that brought none.
+        timed_out: Probes that were cancelled.
+        rights: Probes that this entry may send in one window at present.
+        busy_ms: Time spent waiting for answers, summed over the probes.
+    """
+
+    sent: int = 0
+    answered: int = 0
+    failed: int = 0
+    timed_out: int = 0
+    rights: int = 0
+    busy_ms: float = 0.0
--- /dev/null
+++ b/src/lovageyoke/probing/fleet.py
@@ -0,0 +1,113 @@
+"""This entry VM's part of the fleet's probe budgets."""
+
+from __future__ import annotations
+
+from lovageyoke.membership import api
+from lovageyoke.membership import rendezvous
+
+WINDOW_MS = 1_000.0
+GUARD_MS = 10.0
+SETTLE_MS = 10_000.0
+MAX_GAP_MS = 500.0
+
+
+class FleetShare:
+    """Turns the view of membership into whole probes for each window.
+
+    Fractions can't be used: sixteen entries that may each send one probe
+    every three seconds may all send it in the same second. So each entry has
+    the whole part of its share, and what the rounding leaves over goes, one
+    probe each, to the entries that come first in a rendezvous order, while
+    all entries must agree on who they are.
+
+    A smaller divisor counts only after a whole window, since others may have
+    used their larger share within it. For the same reason a new process, and
+    one that did not look at membership for a while, waits a window first.
+
+    Attributes:
+        divisor: Largest probe divisor of the last window.
+        member_ids: Entry ids in the present view.
+        changed_ms: When the view last changed or began to be unclear.
+        started_ms: When this process, or its view, last began anew.
+        updated_ms: When the view was last looked at.
+        version: Grows whenever shares may have changed.
+    """
+
+    def __init__(self, now_ms: float) -> None:
+        self.divisor = 1
+        self.member_ids: tuple[str, ...] = ()
+        self.self_id = ""
+        self.changed_ms = now_ms
+        self.started_ms = now_ms
+        self.updated_ms = now_ms
+        self.version = 0
+        self._settled = False
+        self._lower: int | None = None
+        self._lower_since_ms = now_ms
+
+    def update(self, view: api.MembershipView, now_ms: float) -> None:
+        """Looks at membership; to be called several times a second."""
+        if now_ms - self.updated_ms > MAX_GAP_MS:
+            self.started_ms = now_ms
+            self.version += 1
+        self.updated_ms = now_ms
+        self.self_id = view.self_id()
+        self._update_members(view.members(), now_ms)
+        self._update_divisor(max(1, view.probe_divisor(now_ms)), now_ms)
+        settled = self._is_settled()
+        self.version += settled != self._settled
+        self._settled = settled
+
+    def rights(self, key: str, probes: int) -> int:
+        """Returns how many probes this entry may send in one window.
+
+        Args:
+            key: What the budget is for; it decides who has the remainder.
+            probes: Probes that the whole fleet may send in one window.
+        """
+        whole = probes // self.divisor
+        remainder = probes - whole * self.divisor
+        if remainder and self._settled:
+            order = rendezvous.ranked(key, self.member_ids)
+            whole += order.index(self.self_id) < remainder
+        return whole
+
+    def is_fresh(self, window_ms: float, now_ms: float) -> bool:
+        """Returns whether this process has watched for a whole window."""
+        return (
+            now_ms - self.updated_ms <= MAX_GAP_MS
+            and now_ms - self.started_ms > window_ms
+        )
+
+    def _is_settled(self) -> bool:
+        return (
+            self.divisor == len(self.member_ids)
+            and self.self_id in self.member_ids
+            and self.updated_ms - self.changed_ms > SETTLE_MS
+        )
+
+    def _update_members(
+        self, members: tuple[api.Member, ...], now_ms: float
+    ) -> None:
+        member_ids = tuple(sorted(each.entry_id for each in members))
+        unclear = any(
+            each.state is not api.MemberState.ALIVE for each in members
+        )
+        if unclear or member_ids != self.member_ids:
+            self.changed_ms = now_ms
+            self.member_ids = member_ids
+
+    def _update_divisor(self, divisor: int, now_ms: float) -> None:
+        if divisor >= self.divisor:
+            self.version += divisor > self.divisor
+            self.divisor = divisor
+            self._lower = None
+            return
+        if self._lower is None:
+            self._lower = divisor
+            self._lower_since_ms = now_ms
+        self._lower = max(self._lower, divisor)
+        if now_ms - self._lower_since_ms > WINDOW_MS + GUARD_MS:
+            self.divisor = self._lower
+            self._lower = None
+            self.version += 1
--- /dev/null
+++ b/src/lovageyoke/probing/prober.py
@@ -0,0 +1,160 @@
+"""The task that probes upstreams."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+
+import anyio
+import anyio.abc
+from loguru import logger
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.errors import exceptions
+from lovageyoke.membership import api as membership_api
+from lovageyoke.probing import api
+from lovageyoke.probing import budget as probe_budget
+from lovageyoke.probing import fleet
+from lovageyoke.probing import presets
+from lovageyoke.probing import scheduler
+from lovageyoke.routing import api as routing_api
+from lovageyoke.transport import api as transport_api
+
+TICK_MS = 20.0
+
+
+class ProbedService:
+    """One service that the prober looks after.
+
+    Attributes:
+        scheduler: Decides on its probes.
+        targets: Address of each upstream by id.
+    """
+
+    def __init__(
+        self,
+        decisions: scheduler.ProbeScheduler,
+        targets: dict[str, transport_api.Target],
+    ) -> None:
+        self.scheduler = decisions
+        self.targets = targets
+
+
+class Prober:
+    """Drives the probe schedulers of all services from one task.
+
+    Attributes:
+        probe: Asks an upstream for its load.
+        view: Membership.
+        clock: Source of time.
+        share: This entry's part of the fleet.
+        services: The services that are probed, by name.
+        budgets: Budget of each service by name; those of removed services
+            stay for a window, so that one that returns spends nothing twice.
+    """
+
+    def __init__(
+        self,
+        probe: api.Probe,
+        view: membership_api.MembershipView,
+        clock: clock_api.Clock,
+    ) -> None:
+        self.probe = probe
+        self.view = view
+        self.clock = clock
+        self.share = fleet.FleetShare(clock.now_ms())
+        self.services: dict[str, ProbedService] = {}
+        self.budgets: dict[str, probe_budget.ProbeBudget] = {}
+        self._due: list[tuple[float, int, str, ProbedService]] = []
+        self._order = itertools.count()
+
+    def add(
+        self,
+        name: str,
+        policy: routing_api.RoutingPolicy,
+        probes_per_s: float,
+        plan: presets.ProbePlan,
+        targets: dict[str, transport_api.Target],
+    ) -> ProbedService:
+        """Starts to probe a service, or replaces how it is probed.
+
+        Args:
+            name: Name of the service.
+            policy: Its routing policy.
+            probes_per_s: Probes a second that the whole fleet may send.
+            plan: How readily the service pays for probes.
+            targets: Address of each upstream by id.
+        """
+        known = self.services.get(name)
+        budget = self.budgets.get(name)
+        if budget is None:
+            budget = probe_budget.ProbeBudget(name, probes_per_s, self.share)
+            self.budgets[name] = budget
+        budget.set_rate(probes_per_s)
+        decisions = scheduler.ProbeScheduler(policy, budget, plan)
+        if known is not None:
+            decisions.counters = known.scheduler.counters
+        service = ProbedService(decisions, targets)
+        self.services[name] = service
+        self._push(name, service, self.clock.now_ms())
+        return service
+
+    def remove(self, name: str) -> None:
+        """Stops probing a service."""
+        self.services.pop(name, None)
+        now_ms = self.clock.now_ms()
+        self.budgets = {
+            each: budget
+            for each, budget in self.budgets.items()
+            if each in self.services or budget.is_spent(now_ms)
+        }
+
+    async def run(self) -> None:
+        """Probes until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                now_ms = self.clock.now_ms()
+                self.share.update(self.view, now_ms)
+                self.start_due(tasks, now_ms)
+                await self.clock.sleep_ms(TICK_MS)
+
+    def start_due(self, tasks: anyio.abc.TaskGroup, now_ms: float) -> None:
+        """Starts the probes that are due."""
+        while self._due and self._due[0][0] <= now_ms:
+            _, _, name, service = heapq.heappop(self._due)
+            if self.services.get(name) is not service:
+                continue
+            upstream_id = service.scheduler.next_target(now_ms)
+            while upstream_id is not None:
+                tasks.start_soon(self._run_probe, service, upstream_id)
+                upstream_id = service.scheduler.next_target(now_ms)
+            self._push(name, service, service.scheduler.recheck_ms(now_ms))
+
+    def _push(self, name: str, service: ProbedService, due_ms: float) -> None:
+        item = (due_ms, next(self._order), name, service)
+        heapq.heappush(self._due, item)
+
+    async def _run_probe(
+        self, service: ProbedService, upstream_id: str
+    ) -> None:
+        report = None
+        timed_out = False
+        target = service.targets.get(upstream_id)
+        if target is not None:
+            timeout_s = service.scheduler.plan.timeout_ms / 1_000.0
+            with anyio.move_on_after(timeout_s) as scope:
+                report = await self._ask(target)
+            timed_out = scope.cancelled_caught
+        now_ms = self.clock.now_ms()
+        service.scheduler.finish(upstream_id, report, now_ms, timed_out)
+
+    async def _ask(
+        self, target: transport_api.Target
+    ) -> routing_api.LoadReport | None:
+        try:
+            return await self.probe.probe(target)
+        except (exceptions.LovageyokeError, OSError) as error:
+            logger.debug(
+                "probe of upstream {} failed: {}", target.upstream_id, error
+            )
+            return None
--- /dev/null
+++ b/src/lovageyoke/probing/scheduler.py
@@ -0,0 +1,86 @@
+"""Decides when a paid probe of one service is worth sending."""
+
+from __future__ import annotations
+
+from lovageyoke.probing import budget as probe_budget
+from lovageyoke.probing import counters as probe_counters
+from lovageyoke.probing import presets
+from lovageyoke.routing import api
+
+IDLE_RECHECK_MS = 500.0
+
+
+class ProbeScheduler:
+    """Sends probes where reports have grown too old, within the budget.
+
+    Attributes:
+        policy: Knows which reports are old, and takes the answers.
+        budget: Bounds the probes.
+        plan: How readily the service pays.
+        counters: Counts of probes.
+        pending: When each probe in flight was sent, by upstream id.
+    """
+
+    def __init__(
+        self,
+        policy: api.RoutingPolicy,
+        budget: probe_budget.ProbeBudget,
+        plan: presets.ProbePlan,
+    ) -> None:
+        self.policy = policy
+        self.budget = budget
+        self.plan = plan
+        self.counters = probe_counters.ProbeCounters()
+        self.pending: dict[str, float] = {}
+
+    def next_target(self, now_ms: float) -> str | None:
+        """Returns an upstream to probe at once; its cost is then spent."""
+        self.counters.rights = self.budget.rights(now_ms)
+        if len(self.pending) >= self.plan.max_pending:
+            return None
+        allowed_ms = self.budget.next_ms(now_ms)
+        if allowed_ms is None or allowed_ms > now_ms:
+            return None
+        most = len(self.pending) + 1
+        for upstream_id in self.policy.probe_targets(now_ms, most):
+            if upstream_id in self.pending:
+                continue
+            if not self.budget.try_spend(now_ms):
+                return None
+            self.pending[upstream_id] = now_ms
+            self.counters.sent += 1
+            return upstream_id
+        return None
+
+    def recheck_ms(self, now_ms: float) -> float:
+        """Returns when to ask for a target again, after there was none."""
+        allowed_ms = self.budget.next_ms(now_ms)
+        if allowed_ms is None:
+            return now_ms + IDLE_RECHECK_MS
+        pause_ms = min(IDLE_RECHECK_MS, self.plan.useful_ms / 4.0)
+        return max(allowed_ms, now_ms + pause_ms)
+
+    def finish(
+        self,
+        upstream_id: str,
+        report: api.LoadReport | None,
+        now_ms: float,
+        timed_out: bool = False,
+    ) -> None:
+        """Records the end of a probe and tells the policy.
+
+        Args:
+            upstream_id: The upstream.
+            report: Its answer, or None when there was none.
+            now_ms: The present time in milliseconds.
+            timed_out: Whether the probe was cancelled.
+        """
+        latency_ms = now_ms - self.pending.pop(upstream_id, now_ms)
+        self.counters.busy_ms += latency_ms
+        if report is not None:
+            self.counters.answered += 1
+        elif timed_out:
+            self.counters.timed_out += 1
+        else:
+            self.counters.failed += 1
+        self.policy.probed(upstream_id, report, latency_ms, now_ms)
--- a/src/lovageyoke/routing/pool.py
+++ b/src/lovageyoke/routing/pool.py
@@ -3,23 +3,60 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from collections.abc import Set as AbstractSet
 import random
 
+import attrs
+
 from lovageyoke.config import model
+from lovageyoke.probing import presets
 from lovageyoke.routing import api
+from lovageyoke.routing import cost
+from lovageyoke.routing import ejection
+from lovageyoke.routing import report_pool
+from lovageyoke.routing import slow_start
 from lovageyoke.routing import state
 from lovageyoke.routing import tracking
 
-CHOICES = 3
+CHOICES = 4
+HALF_LIFE_MS = 40.0
+MAX_USES = 8
+LATENCY_SMOOTHING = 0.05
+IDLE_MS = 5_000.0
+
+
+@attrs.define(eq=False)
+class PooledState(state.UpstreamState):
+    """State of an upstream with its newest report.
+
+    Attributes:
+        report: Its newest report.
+        health: Its recent latency and failures.
+        slow_start_ms: When its slow start began, or None when it is over.
+    """
+
+    report: report_pool.PooledReport = attrs.field(
+        factory=report_pool.PooledReport
+    )
+    health: ejection.Health = attrs.field(factory=ejection.Health)
+    slow_start_ms: float | None = None
 
 
 class PoolPolicy(tracking.TrackingPolicy):
     """Chooses the cheapest of a few random upstreams by recent reports.
 
+    Source: the pool of probes and its reuse limit follow Wydrowski et al.,
+    "Load is not what you should balance: Introducing Prequal", NSDI 2024;
+    here the reports of ordinary responses fill the pool.
+
     Attributes:
         routing: Routing settings of the service.
         own_failure_domain: Where this entry VM runs.
-        loads: Last reported load of each upstream by id.
+        plan: How readily the service pays for probes.
+        pool: The recent reports.
+        ejector: Takes outliers out.
+        latency_ms: Smoothed latency over all upstreams.
+        chosen_ms: When a request was last routed.
     """
 
     def __init__(
@@ -31,25 +68,118 @@
         super().__init__(rng)
         self.routing = routing
         self.own_failure_domain = own_failure_domain
-        self.loads: dict[str, int] = {}
+        self.plan = presets.PLANS[routing.preset]
+        self.pool = report_pool.ReportPool(HALF_LIFE_MS, MAX_USES)
+        self.ejector = ejection.Ejector()
+        self.latency_ms = 0.0
+        self.chosen_ms = float("-inf")
+
+    def create_state(
+        self, upstream: model.Upstream, now_ms: float
+    ) -> PooledState:
+        """Returns the state of a new upstream; later ones start slowly."""
+        slow_start_ms = now_ms if self.states else None
+        return PooledState(upstream, now_ms, slow_start_ms=slow_start_ms)
+
+    def refresh_usable(self) -> None:
+        """Recomputes the upstreams that may be sent new work."""
+        self.usable = [
+            known
+            for known in self.states.values()
+            if known.usable and as_pooled(known).health.until_ms is None
+        ]
+
+    def choose(self, now_ms: float, excluded: AbstractSet[str]) -> str | None:
+        """Returns the id of an upstream, or None when none may be used."""
+        self.chosen_ms = now_ms
+        self.check_outliers(now_ms)
+        return super().choose(now_ms, excluded)
 
     def pick(
         self, candidates: Sequence[state.UpstreamState], now_ms: float
     ) -> state.UpstreamState:
         """Chooses the cheapest of a random sample."""
-        count = min(CHOICES, len(candidates))
-        return min(self.rng.sample(candidates, count), key=self.load)
+        rand = self.rng.random
+        count = len(candidates)
+        best = candidates[int(rand() * count)]
+        best_cost = self.cost(as_pooled(best), now_ms)
+        for _ in range(min(CHOICES, count) - 1):
+            other = candidates[int(rand() * count)]
+            if other is best:
+                continue
+            other_cost = self.cost(as_pooled(other), now_ms)
+            if other_cost < best_cost:
+                best, best_cost = other, other_cost
+        return best
+
+    def cost(self, known: PooledState, now_ms: float) -> float:
+        """Returns the cost of sending a request to an upstream now."""
+        load = self.pool.estimate(known.report, known.in_flight, now_ms)
+        relative = 1.0
+        latency_ms = known.health.latency_ms
+        if latency_ms is not None and self.latency_ms > 0.0:
+            relative = latency_ms / self.latency_ms
+        remote = known.upstream.failure_domain != self.own_failure_domain
+        value = cost.estimate(load, known.upstream.slots, relative, remote)
+        if known.slow_start_ms is None and not known.report.cold:
+            return value
+        return value / self.slow_start_part(known, now_ms)
+
+    def slow_start_part(self, known: PooledState, now_ms: float) -> float:
+        """Returns the part of its usual work that an upstream may get."""
+        if known.report.cold:
+            known.slow_start_ms = now_ms
+        part = slow_start.part(known.slow_start_ms, known.report.cold, now_ms)
+        if part >= 1.0:
+            known.slow_start_ms = None
+        return part
 
-    def load(self, known: state.UpstreamState) -> int:
-        """Returns the expected requests at an upstream."""
-        reported = self.loads.get(known.upstream.upstream_id, 0)
-        return reported + known.in_flight
+    def check_outliers(self, now_ms: float) -> None:
+        """Ejects slow and failing upstreams, and takes others back."""
+        if now_ms - self.ejector.checked_ms < ejection.CHECK_MS:
+            return
+        pooled = [
+            as_pooled(known) for known in self.states.values() if known.usable
+        ]
+        was_out = [each for each in pooled if each.health.until_ms is not None]
+        healths = [each.health for each in pooled]
+        if not self.ejector.check(healths, now_ms):
+            return
+        for each in was_out:
+            if each.health.until_ms is None:
+                each.slow_start_ms = now_ms
+        self.refresh_usable()
+
+    def dispatched(self, upstream_id: str, now_ms: float) -> None:
+        """Counts a request that was sent, and one use of the report."""
+        super().dispatched(upstream_id, now_ms)
+        known = self.states.get(upstream_id)
+        if known is not None:
+            report = as_pooled(known).report
+            report.uses += 1
+            report.change += 1
 
     def completed(self, completion: api.Completion, now_ms: float) -> None:
-        """Takes the report of a response into the pool."""
+        """Takes the report and the latency of an exchange into account."""
         super().completed(completion, now_ms)
+        found = self.states.get(completion.upstream_id)
+        if found is None:
+            return
+        known = as_pooled(found)
+        known.report.change -= 1
+        if completion.result is api.Result.FAILED:
+            known.health.record_failure()
+        elif completion.result is api.Result.OK:
+            self.record_latency(known, completion.latency_ms)
         if completion.report is not None:
-            self.take_report(completion.upstream_id, completion.report)
+            self.pool.take(known.report, completion.report, now_ms)
+
+    def record_latency(self, known: PooledState, latency_ms: float) -> None:
+        """Takes the latency of a response into account."""
+        known.health.record(latency_ms)
+        if self.latency_ms <= 0.0:
+            self.latency_ms = latency_ms
+        self.latency_ms += LATENCY_SMOOTHING * (latency_ms - self.latency_ms)
 
     def probed(
         self,
@@ -59,11 +189,46 @@
         now_ms: float,
     ) -> None:
         """Takes the report of a probe into the pool."""
+        was_usable = self.is_usable(upstream_id)
         super().probed(upstream_id, report, latency_ms, now_ms)
-        if report is not None:
-            self.take_report(upstream_id, report)
+        found = self.states.get(upstream_id)
+        if found is None:
+            return
+        known = as_pooled(found)
+        if report is None:
+            known.health.record_failure()
+            return
+        if known.usable and not was_usable:
+            known.slow_start_ms = now_ms
+        self.pool.take(known.report, report, now_ms)
+
+    def restore(self, upstream_id: str, now_ms: float) -> None:
+        """Allows new work again, beginning with a slow start."""
+        was_usable = self.is_usable(upstream_id)
+        super().restore(upstream_id, now_ms)
+        if not was_usable and self.is_usable(upstream_id):
+            as_pooled(self.states[upstream_id]).slow_start_ms = now_ms
+
+    def is_usable(self, upstream_id: str) -> bool:
+        """Returns whether an upstream is known and not draining."""
+        known = self.states.get(upstream_id)
+        return known is not None and known.usable
+
+    def probe_targets(self, now_ms: float, most: int) -> tuple[str, ...]:
+        """Returns the upstreams whose reports are oldest, if too old."""
+        drained = super().probe_targets(now_ms, most)
+        stale_ms = now_ms - self.plan.useful_ms
+        stale = [
+            (as_pooled(known).report.received_ms, upstream_id)
+            for upstream_id, known in self.states.items()
+            if known.usable and as_pooled(known).report.received_ms < stale_ms
+        ]
+        stale.sort()
+        ordered = drained + tuple(each for _, each in stale)
+        return ordered[:most]
+
 
-    def take_report(self, upstream_id: str, report: api.LoadReport) -> None:
-        """Keeps the newest load of an upstream."""
-        if upstream_id in self.states:
-            self.loads[upstream_id] = report.in_flight + report.queued
+def as_pooled(known: state.UpstreamState) -> PooledState:
+    """Returns a state of this policy, which creates no other kind."""
+    assert isinstance(known, PooledState)  # noqa: S101
+    return known
--- /dev/null
+++ b/tests/probing/test_budget.py
@@ -0,0 +1,228 @@
+"""Tests of the fleet-wide bound on probes."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from lovageyoke.membership import api
+from lovageyoke.membership import static
+from lovageyoke.probing import budget
+from lovageyoke.probing import fleet
+
+LEARN_MS = 2_000.0
+STEP_MS = 80.0
+NOBODY = 10**12
+BUDGETS = (12.0, 3.0, 0.4)
+
+
+class CarelessShare(fleet.FleetShare):
+    """A broken share that does not wait after a start."""
+
+    def is_fresh(self, window_ms, now_ms):
+        return True
+
+
+class HastyShare(fleet.FleetShare):
+    """A broken share that uses a smaller divisor at once."""
+
+    def _update_divisor(self, divisor, now_ms):
+        self.version += divisor != self.divisor
+        self.divisor = divisor
+
+
+class RoundingShare(fleet.FleetShare):
+    """A broken share that rounds its part up."""
+
+    def rights(self, key, probes):
+        return -(-probes // self.divisor)
+
+
+class ModelEntry:
+    """An entry whose view keeps the promise of membership's interface."""
+
+    def __init__(self, entry_id, now_ms, share_class, delay_ms):
+        self.entry_id = entry_id
+        self.delay_ms = delay_ms
+        self.joined_ms = now_ms
+        self.paused_until_ms = now_ms
+        self.start(now_ms, share_class)
+
+    def start(self, now_ms, share_class):
+        self.share = share_class(now_ms)
+        self.budgets = [
+            budget.ProbeBudget(f"s{each}", each, self.share) for each in BUDGETS
+        ]
+
+
+class ModelFleet:
+    """Entries that join, die, restart and pause; counts their probes."""
+
+    def __init__(self, share_class, seed):
+        self.rng = random.Random(seed)  # noqa: S311
+        self.share_class = share_class
+        self.now_ms = 0.0
+        self.entries = []
+        self.gone = []
+        self.sent = [[] for _ in BUDGETS]
+        for _ in range(3):
+            self.join(-2 * LEARN_MS)
+
+    def join(self, joined_ms=None):
+        joined_ms = self.now_ms if joined_ms is None else joined_ms
+        entry_id = f"e{len(self.entries) + len(self.gone)}"
+        delay_ms = self.rng.uniform(0.5, 1.0) * LEARN_MS
+        entry = ModelEntry(entry_id, self.now_ms, self.share_class, delay_ms)
+        entry.joined_ms = joined_ms
+        self.entries.append(entry)
+
+    def die(self):
+        if len(self.entries) > 1:
+            index = self.rng.randrange(len(self.entries))
+            self.gone.append((self.now_ms, self.entries.pop(index)))
+
+    def restart(self):
+        self.rng.choice(self.entries).start(self.now_ms, self.share_class)
+
+    def pause(self):
+        paused_ms = self.rng.uniform(0.0, 3_000.0)
+        entry = self.rng.choice(self.entries)
+        entry.paused_until_ms = self.now_ms + paused_ms
+
+    def view(self, entry):
+        """Returns what an entry sees, and its divisor."""
+        learnt_ms = self.now_ms - entry.delay_ms
+        seen = [
+            each.entry_id
+            for each in self.entries
+            if each is entry or each.joined_ms <= learnt_ms
+        ]
+        fading = [each.entry_id for died, each in self.gone if died > learnt_ms]
+        held = sum(
+            died + LEARN_MS + entry.delay_ms > self.now_ms
+            for died, _ in self.gone
+        )
+        divisor = len(seen) + held
+        if self.now_ms < entry.joined_ms + LEARN_MS:
+            divisor = NOBODY
+        members = tuple(
+            api.Member(each, 1, "", "", "a") for each in seen + fading
+        )
+        view = static.StaticMembership(entry.entry_id, members)
+        view.probe_divisor = lambda now_ms: divisor
+        return view, divisor
+
+    def run(self, duration_ms):
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += self.rng.uniform(0.0, STEP_MS)
+            shares = 0.0
+            for entry in self.entries:
+                view, divisor = self.view(entry)
+                shares += 1.0 / divisor
+                if self.now_ms >= entry.paused_until_ms:
+                    entry.share.update(view, self.now_ms)
+                    self.spend(entry)
+            assert shares <= 1.0 + 1e-9
+
+    def spend(self, entry):
+        for each, sent in zip(entry.budgets, self.sent, strict=True):
+            if each.try_spend(self.now_ms):
+                sent.append(self.now_ms)
+
+    def check(self):
+        for probes_per_s, sent in zip(BUDGETS, self.sent, strict=True):
+            window_ms = max(1_000.0, 1_000.0 / probes_per_s)
+            most = max(1, int(probes_per_s))
+            for first, last in zip(sent, sent[most:], strict=False):
+                assert last - first >= window_ms
+
+
+EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["join", "die", "restart", "pause"]),
+        strategies.floats(0.0, 6_000.0),
+    ),
+    max_size=6,
+)
+
+
+def run_seeds(share_class, events):
+    for seed in range(10):
+        run_events(share_class, events, seed)
+
+
+def run_events(share_class, events, seed):
+    model = ModelFleet(share_class, seed)
+    model.run(13_000.0)
+    for name, duration_ms in events:
+        getattr(model, name)()
+        model.run(duration_ms)
+    model.run(1_500.0)
+    model.check()
+    return model
+
+
+@hypothesis.settings(max_examples=12)
+@hypothesis.given(events=EVENTS, seed=strategies.integers(0, 1 << 32))
+def test_fleet_stays_within_budget_in_every_window(events, seed):
+    run_events(fleet.FleetShare, events, seed)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_settled_fleet_uses_the_whole_budget(seed):
+    model = run_events(fleet.FleetShare, [("pause", 0.0)], seed)
+    before = [len(sent) for sent in model.sent]
+    model.run(25_000.0)
+    model.check()
+    for budget_per_s, sent, old in zip(
+        BUDGETS, model.sent, before, strict=True
+    ):
+        assert len(sent) - old >= 0.8 * budget_per_s * 20.0 - 2
+
+
+@pytest.mark.parametrize(
+    ("share_class", "events"),
+    [
+        (CarelessShare, [("restart", 100.0)] * 6),
+        (RoundingShare, []),
+    ],
+)
+def test_bound_catches_broken_shares(share_class, events):
+    with pytest.raises(AssertionError):
+        run_seeds(share_class, events)
+
+
+def two_entries_view(entry_id, divisor):
+    members = tuple(api.Member(each, 1, "", "", "a") for each in "xy")
+    view = static.StaticMembership(entry_id, members)
+    view.probe_divisor = lambda now_ms: divisor
+    return view
+
+
+def most_around_a_join(share_class):
+    """Returns the most probes in a window when y gets half of x's share."""
+    shares = {each: share_class(0.0) for each in "xy"}
+    budgets = {
+        each: budget.ProbeBudget("s", 4.0, share)
+        for each, share in shares.items()
+    }
+    sent = []
+    for step in range(400):
+        now_ms = 10.0 * step
+        divisors = {"x": 1, "y": NOBODY} if step < 150 else {"x": 2, "y": 2}
+        for each, share in shares.items():
+            share.update(two_entries_view(each, divisors[each]), now_ms)
+            if budgets[each].try_spend(now_ms):
+                sent.append(now_ms)
+    return max(
+        sum(first <= each < first + 1_000.0 for each in sent) for first in sent
+    )
+
+
+def test_share_grows_only_after_a_whole_window():
+    assert most_around_a_join(fleet.FleetShare) == 4
+    assert most_around_a_join(HastyShare) > 4
--- /dev/null
+++ b/tests/probing/test_prober.py
@@ -0,0 +1,114 @@
+"""Tests of the probe scheduler and its task."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import pytest
+
+from lovageyoke.config import model
+from lovageyoke.errors import exceptions
+from lovageyoke.membership import api as membership_api
+from lovageyoke.membership import static
+from lovageyoke.probing import api
+from lovageyoke.probing import presets
+from lovageyoke.probing import prober
+from lovageyoke.routing import api as routing_api
+from lovageyoke.routing import registry
+from lovageyoke.transport import api as transport_api
+
+UPSTREAMS = tuple(
+    model.Upstream(f"u{i}", "127.0.0.1", 8_000 + i, "a") for i in range(4)
+)
+TARGETS = {
+    each.upstream_id: transport_api.Target(
+        each.upstream_id, each.address, each.port
+    )
+    for each in UPSTREAMS
+}
+
+
+class FakeProbe(api.Probe):
+    """Answers at once, or fails as told."""
+
+    def __init__(self):
+        self.asked = []
+        self.error = None
+
+    async def probe(self, target):
+        self.asked.append(target.upstream_id)
+        if self.error is not None:
+            raise self.error
+        return routing_api.LoadReport(1)
+
+
+@pytest.fixture
+def probe():
+    return FakeProbe()
+
+
+@pytest.fixture
+def service_prober(clock, probe):
+    member = membership_api.Member("e1", 1, "", "", "a")
+    view = static.StaticMembership("e1", (member,))
+    return prober.Prober(probe, view, clock)
+
+
+@pytest.fixture
+def policy():
+    rng = random.Random(1)  # noqa: S311
+    made = registry.create("pool", model.Routing(), "a", rng)
+    made.set_upstreams(UPSTREAMS, 0.0)
+    return made
+
+
+async def run_for(service_prober, clock, duration_ms):
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(service_prober.run)
+        await anyio.wait_all_tasks_blocked()
+        for _ in range(int(duration_ms / prober.TICK_MS)):
+            clock.advance(prober.TICK_MS)
+            await anyio.wait_all_tasks_blocked()
+        tasks.cancel_scope.cancel()
+
+
+def add(service_prober, policy, probes_per_s=4.0):
+    plan = presets.PLANS[model.Preset.TAIL_LATENCY]
+    return service_prober.add("s", policy, probes_per_s, plan, TARGETS)
+
+
+async def test_probes_idle_service_within_its_budget(
+    service_prober, clock, probe, policy, anyio_backend
+):
+    service = add(service_prober, policy)
+    await run_for(service_prober, clock, 900.0)
+    assert probe.asked == []
+    await run_for(service_prober, clock, 5_000.0)
+    counters = service.scheduler.counters
+    assert 12 <= len(probe.asked) <= 20
+    assert counters.sent == counters.answered == len(probe.asked)
+    assert set(probe.asked) == set(TARGETS)
+
+
+async def test_service_that_returns_spends_nothing_twice(
+    service_prober, clock, probe, policy, anyio_backend
+):
+    add(service_prober, policy, 1.0)
+    await run_for(service_prober, clock, 1_600.0)
+    assert len(probe.asked) == 1
+    service_prober.remove("s")
+    add(service_prober, policy, 1.0)
+    await run_for(service_prober, clock, 800.0)
+    assert len(probe.asked) == 1
+
+
+async def test_failed_probes_are_counted(
+    service_prober, clock, probe, policy, anyio_backend
+):
+    probe.error = exceptions.UpstreamError("no answer")
+    service = add(service_prober, policy)
+    await run_for(service_prober, clock, 2_000.0)
+    counters = service.scheduler.counters
+    assert counters.failed == counters.sent > 0
+    assert service.scheduler.pending == {}
