Let entries know each other by heartbeats and the platform's list

Cause: the entries have no control VM; each must learn who the others are, which of them are leaving or gone, and which shards it owns, from a list that lags and messages that get lost. Change: a pure state machine. Up to sixteen entries are a full mesh; beyond that each has at most nineteen neighbours. A member is suspected when nobody near it hears it, and dead only when a list asked for afterwards lacks it as well. Records spread with heartbeats and are repaired by digests. A pause, a clock that went back, two processes with one id, a reused address and regions that lose each other have rules and tests. Draining upstreams and what other parts have to say travel as payloads. Faults found by the tests and mended: ages rounded down let two entries keep a cut-off region alive for each other; drains that had expired here came back from peers with what was left there; a voucher's old evidence kept the former holder of an address alive.

--- a/src/lovageyoke/membership/api.py
+++ b/src/lovageyoke/membership/api.py
@@ -31,6 +31,8 @@
         peer_address: Host and port of its peer channel.
         failure_domain: Where it runs.
         state: Its state.
+        region: The region of its failure domain.
+        load: Its load in percent, as it last reported.
     """
 
     entry_id: str
@@ -39,6 +41,8 @@
     peer_address: str
     failure_domain: str
     state: MemberState = MemberState.ALIVE
+    region: str = ""
+    load: int = 0
 
 
 class MembershipView(abc.ABC):
--- /dev/null
+++ b/src/lovageyoke/membership/evidence.py
@@ -0,0 +1,151 @@
+"""Evidence of life: heard directly, or vouched for by others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import struct
+
+import xxhash
+
+AGE_UNIT_MS = 100
+MAX_AGE = 255
+HOP_MS = 250.0
+AGE_FORMAT = ">IB"
+AGE_BYTES = struct.calcsize(AGE_FORMAT)
+
+
+def short_id(entry_id: str) -> int:
+    """Returns the 32-bit name of an entry in age lists."""
+    return xxhash.xxh32_intdigest(entry_id.encode())
+
+
+def encode_ages(ages_ms: Iterable[tuple[str, float]]) -> bytes:
+    """Returns pairs of entry id and age as an age list.
+
+    Ages of more than 25.4 s are left out.
+    """
+    parts = []
+    for entry_id, age_ms in ages_ms:
+        age = int(age_ms / AGE_UNIT_MS)
+        if 0 <= age < MAX_AGE:
+            parts.append(struct.pack(AGE_FORMAT, short_id(entry_id), age))
+    return b"".join(parts)
+
+
+def decode_ages(ages: bytes) -> Iterator[tuple[int, float]]:
+    """Yields pairs of short id and age in milliseconds."""
+    whole = len(ages) - len(ages) % AGE_BYTES
+    for short, age in struct.iter_unpack(AGE_FORMAT, ages[:whole]):
+        yield short, float(age * AGE_UNIT_MS)
+
+
+class Evidence:
+    """When members, or whole regions, last showed life, by this clock.
+
+    Attributes:
+        heard_ms: Time of the last heartbeat from a member.
+        vouched_ms: Latest time at which others say they heard a member.
+        since_ms: When this process began to expect heartbeats of a member.
+    """
+
+    def __init__(self) -> None:
+        self.heard_ms: dict[str, float] = {}
+        self.vouched_ms: dict[str, float] = {}
+        self.since_ms: dict[str, float] = {}
+        self._by_short: dict[int, str] = {}
+        self._void_until_ms: dict[str, float] = {}
+
+    def expect(self, entry_ids: Iterable[str], now_ms: float) -> None:
+        """Replaces the members whose heartbeats are expected."""
+        self.since_ms = {
+            each: self.since_ms.get(each, now_ms) for each in entry_ids
+        }
+        self._by_short = {short_id(each): each for each in self.since_ms}
+        self._void_until_ms = {
+            each: void_ms
+            for each, void_ms in self._void_until_ms.items()
+            if each in self.since_ms
+        }
+
+    def hear(self, entry_id: str, now_ms: float) -> None:
+        """Records a heartbeat from a member."""
+        self.heard_ms[entry_id] = now_ms
+
+    def vouch(self, ages: bytes, now_ms: float) -> None:
+        """Takes in the age list of a member's heartbeat."""
+        for short, age_ms in decode_ages(ages):
+            entry_id = self._by_short.get(short)
+            if entry_id is None:
+                continue
+            vouched_ms = now_ms - age_ms
+            if vouched_ms <= self._void_until_ms.get(entry_id, vouched_ms - 1):
+                continue
+            known_ms = self.vouched_ms.get(entry_id, vouched_ms)
+            self.vouched_ms[entry_id] = max(known_ms, vouched_ms)
+
+    def forget(self, entry_id: str, now_ms: float) -> None:
+        """Drops what is known of a member's older incarnation."""
+        self.heard_ms.pop(entry_id, None)
+        self.vouched_ms.pop(entry_id, None)
+        if entry_id in self.since_ms:
+            self.since_ms[entry_id] = now_ms
+
+    def discredit(self, entry_id: str, now_ms: float) -> None:
+        """Counts nothing as a sign of life that is older than now."""
+        self.forget(entry_id, now_ms)
+        self.since_ms[entry_id] = float("-inf")
+        self._void_until_ms[entry_id] = now_ms
+
+    def restart(self, now_ms: float) -> None:
+        """Expects everything afresh, after this process was paused."""
+        self.since_ms = dict.fromkeys(self.since_ms, now_ms)
+
+    def is_expected(self, entry_id: str) -> bool:
+        """Returns whether heartbeats of a member are expected."""
+        return entry_id in self.since_ms
+
+    def direct_age_ms(self, entry_id: str, now_ms: float) -> float:
+        """Returns the time since a member was heard directly."""
+        return now_ms - self.heard_ms.get(entry_id, float("-inf"))
+
+    def evidence_age_ms(self, entry_id: str, now_ms: float) -> float:
+        """Returns the time since any evidence; infinite without any."""
+        latest_ms = max(
+            self.heard_ms.get(entry_id, float("-inf")),
+            self.vouched_ms.get(entry_id, float("-inf")),
+        )
+        return now_ms - latest_ms
+
+    def silence_ms(self, entry_id: str, now_ms: float) -> float:
+        """Returns the time since any evidence, or since it was expected."""
+        since_ms = self.since_ms.get(entry_id, float("-inf"))
+        return min(self.evidence_age_ms(entry_id, now_ms), now_ms - since_ms)
+
+    def direct_ages(self, now_ms: float) -> bytes:
+        """Returns the age list of what this process has heard itself."""
+        return encode_ages(
+            (each, now_ms - self.heard_ms[each])
+            for each in self.since_ms
+            if each in self.heard_ms
+        )
+
+    def all_ages(self, now_ms: float) -> bytes:
+        """Returns the age list of all evidence, what others say included.
+
+        Each hop adds ``HOP_MS``, which is more than a message takes, or two
+        entries would keep each other's evidence fresh for ever.
+        """
+        return encode_ages(
+            (each, self.silence_ms(each, now_ms) + HOP_MS)
+            for each in self.since_ms
+            if each in self.heard_ms or each in self.vouched_ms
+        )
+
+    def silent(self, now_ms: float, limit_ms: float) -> frozenset[str]:
+        """Returns what has shown no life for longer than ``limit_ms``."""
+        return frozenset(
+            each
+            for each in self.since_ms
+            if self.silence_ms(each, now_ms) > limit_ms
+        )
--- /dev/null
+++ b/src/lovageyoke/membership/state.py
@@ -0,0 +1,376 @@
+"""Pure membership: events and time in, messages to send out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import random
+
+import attrs
+from loguru import logger
+
+from lovageyoke.errors import exceptions
+from lovageyoke.membership import api
+from lovageyoke.membership import incarnation
+from lovageyoke.membership import members as members_lib
+from lovageyoke.membership import messages
+from lovageyoke.membership import roster
+from lovageyoke.membership import spread as spread_lib
+from lovageyoke.membership import table as table_lib
+from lovageyoke.membership import timing as timing_lib
+from lovageyoke.peer import api as peer_api
+from lovageyoke.platform import api as platform_api
+
+JITTER = 0.1
+MAX_CONTACTS_A_TICK = 3
+
+State = api.MemberState
+
+
+@attrs.frozen
+class Send:
+    """Asks for a message to be sent.
+
+    Attributes:
+        entry_id: The receiver.
+        address: Its peer address; "" when it is not known.
+        message: The message.
+    """
+
+    entry_id: str
+    address: str
+    message: peer_api.Message
+
+
+class MembershipState:
+    """This entry's part in membership.
+
+    Neither the platform's list nor silence alone removes a member. A member
+    is suspected when none of its neighbours hears it, and dead when it is
+    also missing from a list asked for after it fell silent.
+
+    Attributes:
+        members: What this entry believes of the others.
+        generations: Roster generations that processes have reported.
+        loads: Loads that entries have reported, in percent.
+        load: This entry's load, in percent.
+        generation: Generation of the roster that this entry has read.
+        superseded: Whether another process took over this entry's id.
+        paused: Set when a pause was noticed; whoever acts on it clears it.
+        urgent: Whether news waits that must reach the others at once.
+    """
+
+    def __init__(
+        self,
+        own: messages.MemberRecord,
+        rng: random.Random,
+        now_ms: float,
+        spreads: tuple[spread_lib.Spread, ...] = (),
+        timing: timing_lib.Timing | None = None,
+    ) -> None:
+        self.timing = timing or timing_lib.Timing()
+        self.members = members_lib.Members(own, now_ms, self.timing)
+        self.spreads = {each.name: each for each in spreads}
+        self.generations: dict[roster.Holder, int] = {}
+        self.loads: dict[str, int] = {}
+        self.load = 0
+        self.generation = 0
+        self.superseded = False
+        self.paused = False
+        self.urgent = True
+        self._rng = rng
+        self._started_ms = now_ms
+        self._ticked_ms = now_ms
+        self._due_ms: dict[str, float] = {}
+        self._contacts: dict[str, str] = {}
+        self._synced_ms = float("-inf")
+        self._broadcast_ms = float("-inf")
+
+    @property
+    def own(self) -> messages.MemberRecord:
+        """This entry's record."""
+        return self.members.own
+
+    @property
+    def holder(self) -> roster.Holder:
+        """This process, as the probe roster names it."""
+        return (self.own.entry_id, self.own.incarnation)
+
+    def tick(self, now_ms: float) -> list[Send]:
+        """Returns what is to be sent now; call it every ``tick_ms``."""
+        self.notice_pause(now_ms)
+        self.members.judge_all(now_ms)
+        self.members.bury(now_ms)
+        if self.urgent and now_ms - self._broadcast_ms >= self.timing.urgent_ms:
+            return self._broadcast(now_ms)
+        sends = [self._beat(each, now_ms) for each in self._due(now_ms)]
+        return sends + self._greet_contacts(now_ms)
+
+    def receive(
+        self, source: str, message: peer_api.Message, now_ms: float
+    ) -> list[Send]:
+        """Takes in a message from another entry; returns what to send."""
+        if source == self.own.entry_id:
+            return []
+        match message:
+            case messages.Heartbeat():
+                return self._on_heartbeat(source, message, now_ms)
+            case messages.SyncRequest():
+                records = self.members.table.differing(message.buckets)
+                return [self._send(source, messages.SyncReply(records))]
+            case messages.SyncReply():
+                self._on_records(message.records, now_ms)
+            case messages.Superseded():
+                self._on_superseded(message, now_ms)
+        return []
+
+    def list_vms(
+        self,
+        vms: Iterable[platform_api.Vm],
+        asked_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Takes in the platform's list.
+
+        Args:
+            vms: The VMs in the list.
+            asked_ms: When the list was asked for.
+            now_ms: The present time in milliseconds.
+        """
+        self.members.listing.replace(vms, asked_ms)
+        for record in list(self.members.table):
+            if self.members.listing.is_leaving(record.entry_id):
+                self._on_listed_as_leaving(record, now_ms)
+
+    def add_contacts(self, addresses: dict[str, str]) -> None:
+        """Makes contact with entries, by id and address, that are unknown."""
+        known = self.members.states
+        self._contacts = {
+            entry_id: address
+            for entry_id, address in (self._contacts | addresses).items()
+            if entry_id not in known
+        }
+
+    def leave(self, now_ms: float) -> None:
+        """Announces that this entry is leaving; it goes on serving."""
+        if self.own.state is State.ALIVE:
+            self._restate(State.LEAVING, now_ms)
+
+    def farewell(self, now_ms: float) -> list[Send]:
+        """Returns the last messages of this process, which has ended."""
+        self._restate(State.DEAD, now_ms)
+        return self._broadcast(now_ms)
+
+    def is_overdue(self, now_ms: float) -> bool:
+        """Returns whether the last tick is so old that there was a pause."""
+        return now_ms - self._ticked_ms > self.timing.gap_ms
+
+    def notice_pause(self, now_ms: float) -> None:
+        """Becomes careful if this process has not run for a while.
+
+        Silence while it did not run says nothing about the others.
+        """
+        gap_ms = now_ms - self._ticked_ms
+        paused = self.is_overdue(now_ms)
+        self._ticked_ms = now_ms
+        if not paused:
+            return
+        logger.warning("this process was paused for {:.0f} ms", gap_ms)
+        self.paused = True
+        self.members.evidence.restart(now_ms)
+        self.members.regions.restart(now_ms)
+        self._restate(self.own.state, now_ms)
+
+    def _on_heartbeat(
+        self, source: str, beat: messages.Heartbeat, now_ms: float
+    ) -> list[Send]:
+        self._on_records(beat.records, now_ms)
+        self._on_payloads(source, beat, now_ms)
+        known = self.members.table.get(source)
+        if known is None or beat.incarnation > known.incarnation:
+            return self._ask_to_sync(source, now_ms)
+        if beat.incarnation < known.incarnation:
+            return self._tell_superseded(source, known, now_ms)
+        return self._on_known(source, beat, known, now_ms)
+
+    def _on_known(
+        self,
+        source: str,
+        beat: messages.Heartbeat,
+        known: messages.MemberRecord,
+        now_ms: float,
+    ) -> list[Send]:
+        self.members.evidence.hear(source, now_ms)
+        self.members.evidence.vouch(beat.ages, now_ms)
+        self.members.regions.hear(known.region, now_ms)
+        self.members.regions.vouch(beat.regions, now_ms)
+        self.generations[(source, beat.incarnation)] = beat.generation
+        self.loads[source] = beat.load
+        self._contacts.pop(source, None)
+        sends = self._compare(source, beat, known, now_ms)
+        self.members.judge(source, now_ms)
+        if beat.digest != self.members.table.digest:
+            sends.extend(self._ask_to_sync(source, now_ms))
+        return sends
+
+    def _compare(
+        self,
+        source: str,
+        beat: messages.Heartbeat,
+        known: messages.MemberRecord,
+        now_ms: float,
+    ) -> list[Send]:
+        said = attrs.evolve(known, sequence=beat.sequence, state=beat.state)
+        if table_lib.precedence(said) > table_lib.precedence(known):
+            self.members.publish(said, now_ms)
+            return []
+        if known.state in (State.SUSPECT, State.DEAD):
+            return [self._beat(source, now_ms, (known,))]
+        return []
+
+    def _tell_superseded(
+        self, source: str, known: messages.MemberRecord, now_ms: float
+    ) -> list[Send]:
+        age_ms = self.members.evidence.evidence_age_ms(source, now_ms)
+        uptime_ms = now_ms - self._started_ms
+        if age_ms <= uptime_ms:
+            told = messages.Superseded(known.incarnation, int(age_ms))
+        elif uptime_ms > incarnation.SETTLE_MS:
+            told = messages.Superseded(known.incarnation, None)
+        else:
+            return []
+        return [self._send(source, told)]
+
+    def _on_payloads(
+        self, source: str, beat: messages.Heartbeat, now_ms: float
+    ) -> None:
+        for name, payload in beat.payloads.items():
+            spread = self.spreads.get(name)
+            if spread is None:
+                continue
+            try:
+                news = spread.receive(source, payload, now_ms)
+            except exceptions.DecodeError as error:
+                logger.warning("payload from {}: {}", source, error.detail)
+                continue
+            self.urgent = self.urgent or news
+
+    def _on_records(
+        self, records: Iterable[messages.MemberRecord], now_ms: float
+    ) -> None:
+        for record in records:
+            if record.entry_id == self.own.entry_id:
+                self._on_own_record(record, now_ms)
+            elif self.members.believes(record, now_ms):
+                self.members.publish(record, now_ms)
+
+    def _on_own_record(
+        self, record: messages.MemberRecord, now_ms: float
+    ) -> None:
+        if record.incarnation != self.own.incarnation:
+            return
+        if self.own.state is State.DEAD:
+            return
+        if table_lib.precedence(record) <= table_lib.precedence(self.own):
+            return
+        told_to_leave = record.state is State.LEAVING
+        state = State.LEAVING if told_to_leave else self.own.state
+        self.members.own = attrs.evolve(self.own, sequence=record.sequence)
+        self._restate(state, now_ms)
+
+    def _on_superseded(
+        self, message: messages.Superseded, now_ms: float
+    ) -> None:
+        if message.incarnation <= self.own.incarnation:
+            return
+        uptime_ms = now_ms - self._started_ms
+        match incarnation.contest(uptime_ms, message.age_ms):
+            case incarnation.Contest.YIELD:
+                self.superseded = True
+            case incarnation.Contest.OUTBID:
+                higher = message.incarnation + 1
+                self.members.own = attrs.evolve(self.own, incarnation=higher)
+                self._restate(self.own.state, now_ms)
+
+    def _on_listed_as_leaving(
+        self, record: messages.MemberRecord, now_ms: float
+    ) -> None:
+        if record.entry_id == self.own.entry_id:
+            self.leave(now_ms)
+        elif record.state in (State.ALIVE, State.SUSPECT):
+            leaving = attrs.evolve(record, state=State.LEAVING)
+            self.members.publish(leaving, now_ms)
+            self.urgent = True
+
+    def _restate(self, state: State, now_ms: float) -> None:
+        self.members.restate(attrs.evolve(self.own, state=state), now_ms)
+        self.urgent = True
+
+    def _due(self, now_ms: float) -> list[str]:
+        due = []
+        for entry_id in self.members.neighbours.all:
+            if entry_id not in self._due_ms:
+                phase_ms = self._rng.uniform(0, self.timing.link_ms)
+                self._due_ms[entry_id] = now_ms + phase_ms
+            if self._due_ms[entry_id] <= now_ms:
+                due.append(entry_id)
+        return due
+
+    def _broadcast(self, now_ms: float) -> list[Send]:
+        self.urgent = False
+        self._broadcast_ms = now_ms
+        return [
+            self._beat(each, now_ms) for each in self.members.neighbours.all
+        ]
+
+    def _greet_contacts(self, now_ms: float) -> list[Send]:
+        contacts = sorted(self._contacts)
+        count = min(len(contacts), MAX_CONTACTS_A_TICK)
+        chosen = self._rng.sample(contacts, count)
+        beat = self._heartbeat(now_ms, (self.own,)) if chosen else None
+        return [
+            Send(each, self._contacts[each], beat)
+            for each in chosen
+            if beat is not None
+        ]
+
+    def _ask_to_sync(self, source: str, now_ms: float) -> list[Send]:
+        if now_ms - self._synced_ms < self.timing.sync_ms:
+            return []
+        self._synced_ms = now_ms
+        buckets = self.members.table.bucket_digests()
+        return [self._send(source, messages.SyncRequest(buckets))]
+
+    def _beat(
+        self,
+        entry_id: str,
+        now_ms: float,
+        records: tuple[messages.MemberRecord, ...] = (),
+    ) -> Send:
+        jitter = self._rng.uniform(1 - JITTER, 1 + JITTER)
+        self._due_ms[entry_id] = now_ms + self.timing.link_ms * jitter
+        return self._send(entry_id, self._heartbeat(now_ms, records))
+
+    def _heartbeat(
+        self, now_ms: float, records: tuple[messages.MemberRecord, ...]
+    ) -> messages.Heartbeat:
+        payloads = {
+            name: payload
+            for name, spread in self.spreads.items()
+            if (payload := spread.payload(now_ms))
+        }
+        return messages.Heartbeat(
+            incarnation=self.own.incarnation,
+            sequence=self.own.sequence,
+            state=self.own.state,
+            generation=self.generation,
+            digest=self.members.table.digest,
+            ages=self.members.evidence.direct_ages(now_ms),
+            regions=self.members.regions.all_ages(now_ms),
+            load=self.load,
+            records=records + self.members.news.take(self.members.table),
+            payloads=payloads,
+        )
+
+    def _send(self, entry_id: str, message: peer_api.Message) -> Send:
+        record = self.members.table.get(entry_id)
+        return Send(entry_id, record.peer_address if record else "", message)
--- /dev/null
+++ b/src/lovageyoke/membership/topology.py
@@ -0,0 +1,77 @@
+"""Chooses the neighbours that an entry exchanges heartbeats with.
+
+A region of up to ``MESH_SIZE`` entries is a full mesh. In a larger one, each
+entry has the nearest entries on both sides of a ring, so that the neighbours
+of an entry are neighbours of each other and can vouch for it. A few links to
+entries elsewhere, spread by rendezvous hashing, join regions into one graph of
+small diameter. The number of neighbours doesn't grow with the fleet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from lovageyoke.membership import messages
+from lovageyoke.membership import rendezvous
+
+MESH_SIZE = 16
+RING_HALF = 5
+LONG_LINKS = 4
+
+
+@attrs.frozen
+class Neighbours:
+    """The entries that heartbeats go to.
+
+    Attributes:
+        near: Entries that send heartbeats back, and are watched.
+        far: Entries that have neighbours of their own.
+    """
+
+    near: tuple[str, ...] = ()
+    far: tuple[str, ...] = ()
+
+    @property
+    def all(self) -> tuple[str, ...]:
+        """The near and the far ones."""
+        return (*self.near, *self.far)
+
+
+def choose(
+    own: messages.MemberRecord, others: Iterable[messages.MemberRecord]
+) -> Neighbours:
+    """Returns the entries to send heartbeats to.
+
+    Args:
+        own: This entry's record.
+        others: Records of the other entries, dead ones left out.
+    """
+    everyone = list(others)
+    if len(everyone) < MESH_SIZE:
+        return Neighbours(tuple(sorted(each.entry_id for each in everyone)))
+    near = _near(own, everyone)
+    rest = [each.entry_id for each in everyone if each.entry_id not in near]
+    far = rendezvous.ranked(f"link\0{own.entry_id}", rest)[:LONG_LINKS]
+    return Neighbours(tuple(sorted(near)), tuple(far))
+
+
+def _near(
+    own: messages.MemberRecord, others: list[messages.MemberRecord]
+) -> set[str]:
+    region = {each.entry_id for each in others if each.region == own.region}
+    if len(region) < MESH_SIZE:
+        return region
+    ring = sorted((*region, own.entry_id), key=_ring_position)
+    index = ring.index(own.entry_id)
+    return {
+        ring[(index + step) % len(ring)]
+        for step in range(-RING_HALF, RING_HALF + 1)
+        if step
+    }
+
+
+def _ring_position(entry_id: str) -> tuple[int, str]:
+    return (xxhash.xxh3_64_intdigest(entry_id.encode()), entry_id)
