--- a/src/lovageyoke/caller/server.py
+++ b/src/lovageyoke/caller/server.py
@@ -17,6 +17,8 @@
 from lovageyoke.transport import sockets
 
 BACKLOG = 1_024
+# A caller may pause in a download for this long.
+CALLER_UNACKNOWLEDGED_MS = 30_000
 KEEP_ALIVE_S = 75.0
 # Callers keep their connections; the number of requests on one has no bound.
 MAX_REQUESTS_PER_CONNECTION = 1 << 60
@@ -44,14 +46,10 @@
 
 
 def listen(address: str, port: int) -> socket.socket:
-    """Returns a listening socket; port 0 takes an ephemeral port.
-
-    Connections inherit its liveness options.
-    """
+    """Returns a listening socket; port 0 takes an ephemeral port."""
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sockets.set_liveness_options(sock)
     sock.bind((address, port))
     sock.listen(BACKLOG)
     return sock
@@ -95,6 +93,8 @@
         options: How connections are treated.
     """
     config = configure(listener, options or ServerOptions())
+    # Connections inherit the options of their listener.
+    sockets.set_liveness_options(listener, CALLER_UNACKNOWLEDGED_MS)
     # The server library takes ownership of the file descriptor.
     listener.detach()
     stopping = anyio.Event()
