--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -12,6 +12,7 @@
 from lovageyoke.cli import plan
 from lovageyoke.cli import services
 from lovageyoke.cli import settings_check
+from lovageyoke.cli import soak
 from lovageyoke.cli import standin_platform
 from lovageyoke.cli import standin_upstream
 from lovageyoke.cli import status
@@ -26,6 +27,7 @@
     plan,
     services,
     settings_check,
+    soak,
     standin_platform,
     standin_upstream,
     status,
