Hold requests back while upstreams are full, and hedge slow ones

Cause: an entry sent on whatever came, and a straggler held up a repeatable request until its silence bound. Change: requests pass admission before dispatch; each upstream's in-flight limit keeps it out of choices while full; a repeatable first attempt that is slower than the recent 95th percentile is raced by a second copy elsewhere, paid from the retry budget, and the loser's connection is closed. A first sign of draining is told to a listener.

--- a/src/lovageyoke/caller/api.py
+++ b/src/lovageyoke/caller/api.py
@@ -15,6 +15,7 @@
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
+DrainListener = Callable[[str, str], None]
 PolicyFactory = Callable[[model.Service], routing_api.RoutingPolicy]
 
 
--- a/src/lovageyoke/caller/app.py
+++ b/src/lovageyoke/caller/app.py
@@ -17,16 +17,22 @@
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
 from lovageyoke.idempotency import api as claim_api
+from lovageyoke.limits import admission as admission_module
+from lovageyoke.limits import control
 from lovageyoke.transport import api as transport_api
 
 Kind = kinds.ErrorKind
 
+DEFAULT_ENTRIES = 16
+DEFAULT_MAX_REQUESTS = 1_024
+
 
 class App:
     """Serves requests of callers.
 
     Attributes:
         routes: Routing state of each service.
+        admission: Holds requests back while upstreams are full.
     """
 
     def __init__(
@@ -36,10 +42,15 @@
         transport: transport_api.Transport,
         claims: claim_api.ClaimLog,
         clock: clock_api.Clock,
+        *,
+        admission: admission_module.Admission,
+        entries: int,
+        on_drain: api.DrainListener,
     ) -> None:
-        self.routes = routes.Routes(policies, clock)
+        self.admission = admission
+        self.routes = routes.Routes(policies, admission, clock, entries)
         self._intake = intake.Intake(services, self.routes, clock)
-        dispatcher = dispatch.Dispatcher(transport, clock)
+        dispatcher = dispatch.Dispatcher(transport, clock, on_drain)
         self._forwarder = forward.Forwarder(dispatcher)
         self._claimed = claimed.ClaimedForwarder(dispatcher, claims)
 
@@ -60,7 +71,9 @@
         call: call_module.Call | None = None
         try:
             call = await self._intake.read(scope, receive)
-            await self._forward(call, receive, send)
+            name = call.route.service.name
+            async with self.admission.acquire(name, call.deadline_ms):
+                await self._forward(call, receive, send)
         except forward.AnswerAbortedError as error:
             # Returning before the answer's end makes the server close the
             # connection, so that the caller sees that it isn't whole.
@@ -73,13 +86,14 @@
     async def _forward(
         self, call: call_module.Call, receive: api.Receive, send: api.Send
     ) -> None:
-        if call.claim is not None:
-            await self._claimed.forward(call, call.claim, send)
-        elif not call.request.repeatable:
-            with anyio.CancelScope(shield=True):
-                await self._forwarder.forward(call, send)
-        else:
+        if call.request.repeatable:
             await self._forward_watched(call, receive, send)
+            return
+        with anyio.CancelScope(shield=True):
+            if call.claim is None:
+                await self._forwarder.forward(call, send)
+            else:
+                await self._claimed.forward(call, call.claim, send)
 
     async def _forward_watched(
         self, call: call_module.Call, receive: api.Receive, send: api.Send
@@ -88,6 +102,7 @@
         failure: exceptions.LovageyokeError | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
+            call.tasks = tasks
             try:
                 await self._forwarder.forward(call, send)
             except exceptions.LovageyokeError as error:
@@ -113,12 +128,44 @@
     await send({"type": "lifespan.shutdown.complete"})
 
 
+def _ignore_drain(service: str, upstream_id: str) -> None:
+    """Does nothing with a sign of draining."""
+
+
 def create(
     services: api.ServiceDirectory,
     policies: api.PolicyFactory,
     transport: transport_api.Transport,
     claims: claim_api.ClaimLog,
     clock: clock_api.Clock,
+    *,
+    admission: admission_module.Admission | None = None,
+    entries: int = DEFAULT_ENTRIES,
+    on_drain: api.DrainListener = _ignore_drain,
 ) -> App:
-    """Returns the application that callers talk to."""
-    return App(services, policies, transport, claims, clock)
+    """Returns the application that callers talk to.
+
+    Args:
+        services: The services in force.
+        policies: Creates the routing policy of a service.
+        transport: Sends requests to upstreams.
+        claims: The at-most-once log.
+        clock: Source of time.
+        admission: Shares this entry between teams and services.
+        entries: Entry VMs that share the upstreams.
+        on_drain: Called with service and upstream at a new sign of draining.
+    """
+    if admission is None:
+        admission = admission_module.Admission(
+            control.AdmissionControl(DEFAULT_MAX_REQUESTS), clock
+        )
+    return App(
+        services,
+        policies,
+        transport,
+        claims,
+        clock,
+        admission=admission,
+        entries=entries,
+        on_drain=on_drain,
+    )
--- a/src/lovageyoke/caller/attempt.py
+++ b/src/lovageyoke/caller/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lovageyoke.caller import headers
+from lovageyoke.caller import routes
 from lovageyoke.clock import api as clock_api
 from lovageyoke.routing import api as routing_api
 from lovageyoke.transport import api as transport_api
@@ -21,14 +22,14 @@
     def __init__(
         self,
         upstream_id: str,
-        policy: routing_api.RoutingPolicy,
+        route: routes.Route,
         clock: clock_api.Clock,
     ) -> None:
         self.upstream_id = upstream_id
-        self._policy: routing_api.RoutingPolicy | None = policy
+        self._route: routes.Route | None = route
         self._clock = clock
         self._start_ms = clock.now_ms()
-        policy.dispatched(upstream_id, self._start_ms)
+        route.dispatched(upstream_id, self._start_ms)
 
     def elapsed_ms(self) -> float:
         """Returns the time since dispatch."""
@@ -40,13 +41,13 @@
         latency_ms: float | None = None,
         report: routing_api.LoadReport | None = None,
     ) -> None:
-        """Tells the policy once how the exchange ended."""
-        policy, self._policy = self._policy, None
-        if policy is None:
+        """Tells the route once how the exchange ended."""
+        route, self._route = self._route, None
+        if route is None:
             return
         if latency_ms is None:
             latency_ms = self.elapsed_ms()
-        policy.completed(
+        route.completed(
             routing_api.Completion(
                 self.upstream_id, result, latency_ms, report
             ),
@@ -103,7 +104,7 @@
             self.start += data
 
     def end(self, result: routing_api.Result) -> None:
-        """Ends the exchange and tells the policy how it went."""
+        """Ends the exchange and tells the route how it went."""
         self.exchange.close()
         self.attempt.end(result, self._latency_ms, self.report)
 
--- a/src/lovageyoke/caller/dispatch.py
+++ b/src/lovageyoke/caller/dispatch.py
@@ -4,15 +4,19 @@
 
 import attrs
 
+from lovageyoke.caller import api
 from lovageyoke.caller import attempt as attempt_module
 from lovageyoke.caller import call as call_module
 from lovageyoke.caller import headers
+from lovageyoke.caller import race
+from lovageyoke.caller import routes
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
 from lovageyoke.errors import table
 from lovageyoke.idempotency import api as claim_api
 from lovageyoke.retry import decision
+from lovageyoke.retry import hedge
 from lovageyoke.retry import marks as call_marks
 from lovageyoke.routing import api as routing_api
 from lovageyoke.transport import api as transport_api
@@ -23,14 +27,18 @@
 EAGER_BYTES = 65_536
 
 
-class Dispatcher:
+class Dispatcher(race.Attempter):
     """Chooses upstreams and sends requests to them."""
 
     def __init__(
-        self, transport: transport_api.Transport, clock: clock_api.Clock
+        self,
+        transport: transport_api.Transport,
+        clock: clock_api.Clock,
+        on_drain: api.DrainListener,
     ) -> None:
         self._transport = transport
         self._clock = clock
+        self._on_drain = on_drain
 
     async def dispatch(self, call: call_module.Call) -> attempt_module.Answer:
         """Returns the answer of the first upstream that gives one.
@@ -41,11 +49,28 @@
         call.route.budget.record_request(self._clock.now_ms())
         while True:
             try:
-                return await self.attempt(call)
+                return await self._first_of(call)
             except exceptions.LovageyokeError as error:
                 if not self._may_retry(call, error):
                     raise
 
+    async def _first_of(self, call: call_module.Call) -> attempt_module.Answer:
+        now_ms = self._clock.now_ms()
+        delay_ms = None
+        if call.tasks is not None and not call.attempts:
+            delay_ms = hedge.delay_ms(
+                call.route.latency,
+                call.request.repeatable,
+                call.marks,
+                now_ms,
+                call.deadline_ms,
+            )
+        if delay_ms is None:
+            return await self.attempt(call)
+        return await race.Race(self, call, self._clock).run(
+            self._transport.timers, now_ms + delay_ms
+        )
+
     async def dispatch_rest(
         self, call: call_module.Call, request: transport_api.Request
     ) -> attempt_module.Answer:
@@ -124,16 +149,13 @@
                 "no time is left to send the request",
                 Kind.DEADLINE_BEFORE_DISPATCH,
             )
-        policy = call.route.policy
-        upstream_id = policy.choose(now_ms, call.excluded)
-        if upstream_id is None and call.excluded and not elsewhere:
-            upstream_id = policy.choose(now_ms, frozenset())
-        if upstream_id is None or upstream_id not in call.route.targets:
+        upstream_id = call.route.choose(now_ms, call.excluded, elsewhere)
+        if upstream_id is None:
             raise exceptions.AdmissionError(
                 "no upstream may be used now", Kind.NO_UPSTREAM
             )
         call.excluded.add(upstream_id)
-        return attempt_module.Attempt(upstream_id, policy, self._clock)
+        return attempt_module.Attempt(upstream_id, call.route, self._clock)
 
     def _mark(self, call: call_module.Call) -> transport_api.Request:
         marks = call_marks.for_upstream(
@@ -142,14 +164,16 @@
         marked = (*call.request.headers, *call_marks.encode(marks))
         return attrs.evolve(call.request, headers=marked)
 
+    def _drain(self, route: routes.Route, upstream_id: str) -> None:
+        if route.drain(upstream_id, self._clock.now_ms()):
+            self._on_drain(route.service.name, upstream_id)
+
     def _accept(
         self, call: call_module.Call, answer: attempt_module.Answer
     ) -> None:
         report = answer.report
         if report is not None and report.draining:
-            call.route.policy.drain(
-                answer.attempt.upstream_id, self._clock.now_ms()
-            )
+            self._drain(call.route, answer.attempt.upstream_id)
         if load_header.is_shed(answer.head):
             raise exceptions.UpstreamError(
                 "the upstream shed the request", Kind.UPSTREAM_SHED
--- a/src/lovageyoke/caller/routes.py
+++ b/src/lovageyoke/caller/routes.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Set as AbstractSet
+
 import attrs
 
 from lovageyoke.caller import api
 from lovageyoke.clock import api as clock_api
 from lovageyoke.config import model
+from lovageyoke.limits import admission as admission_module
+from lovageyoke.limits import upstream as upstream_limits
 from lovageyoke.retry import budget as retry_budget
 from lovageyoke.retry import hedge
 from lovageyoke.routing import api as routing_api
@@ -15,33 +19,137 @@
 
 @attrs.define
 class Route:
-    """A service's routing policy and the addresses of its upstreams.
+    """A service's routing policy, its limits and its upstreams' addresses.
 
     Attributes:
         version: Version of the service that is in force.
         service: The service.
         policy: Chooses among its upstreams.
-        targets: Socket address of each upstream.
+        admission: Holds requests back while its upstreams are full.
         budget: Bounds its retries and hedges.
         latency: Its recent latencies.
+        limits: Requests that each upstream may hold.
+        targets: Socket address of each upstream.
+        drained: Upstreams that take no new work.
     """
 
     version: int
     service: model.Service
     policy: routing_api.RoutingPolicy
-    targets: dict[str, transport_api.Target]
+    admission: admission_module.Admission
     budget: retry_budget.RetryBudget
     latency: hedge.RecentLatency
+    limits: upstream_limits.UpstreamLimits = attrs.field(
+        factory=upstream_limits.UpstreamLimits
+    )
+    targets: dict[str, transport_api.Target] = attrs.field(factory=dict)
+    drained: set[str] = attrs.field(factory=set)
+
+    def update(
+        self, version: int, service: model.Service, entries: int, now_ms: float
+    ) -> None:
+        """Puts a version of the service in force.
+
+        Args:
+            version: The version.
+            service: The service.
+            entries: Entry VMs that share its upstreams.
+            now_ms: The present time in milliseconds.
+        """
+        self.version = version
+        self.service = service
+        self.budget.ratio = service.limits.retry_ratio
+        self.targets = {
+            upstream.upstream_id: transport_api.Target(
+                upstream.upstream_id, upstream.address, upstream.port
+            )
+            for upstream in service.upstreams
+        }
+        self.drained = {
+            upstream.upstream_id
+            for upstream in service.upstreams
+            if upstream.draining
+        }
+        self.policy.set_upstreams(service.upstreams, now_ms)
+        self.limits.set_upstreams(service.upstreams, entries)
+        self.admission.control.set_service(service)
+        self._publish_capacity()
+
+    def choose(
+        self, now_ms: float, tried: AbstractSet[str], elsewhere: bool
+    ) -> str | None:
+        """Returns an upstream with room, None if there is none.
+
+        Args:
+            now_ms: The present time in milliseconds.
+            tried: Upstreams to avoid.
+            elsewhere: Whether only one that was not tried will do.
+        """
+        full = self.limits.full
+        chosen = self.policy.choose(now_ms, tried | full if full else tried)
+        if chosen is None and tried and not elsewhere:
+            chosen = self.policy.choose(now_ms, full)
+        return chosen if chosen in self.targets else None
+
+    def dispatched(self, upstream_id: str, now_ms: float) -> None:
+        """Records that a request was sent to an upstream."""
+        self.policy.dispatched(upstream_id, now_ms)
+        self.limits.start(upstream_id)
+
+    def completed(
+        self, completion: routing_api.Completion, now_ms: float
+    ) -> None:
+        """Records the end of an exchange."""
+        self.policy.completed(completion, now_ms)
+        if completion.result is routing_api.Result.OK:
+            self.latency.record(completion.latency_ms, now_ms)
+        limit = self.limits.limits.get(completion.upstream_id)
+        allowed = 0 if limit is None else limit.allowed
+        self.limits.finish(completion, now_ms)
+        if limit is not None and limit.allowed != allowed:
+            self._publish_capacity()
+
+    def drain(self, upstream_id: str, now_ms: float) -> bool:
+        """Stops new work to an upstream; returns whether that is new."""
+        if upstream_id in self.drained or upstream_id not in self.targets:
+            return False
+        self.drained.add(upstream_id)
+        self.policy.drain(upstream_id, now_ms)
+        self._publish_capacity()
+        return True
+
+    def restore(self, upstream_id: str, now_ms: float) -> None:
+        """Allows new work to an upstream again."""
+        self.drained.discard(upstream_id)
+        self.policy.restore(upstream_id, now_ms)
+        self._publish_capacity()
+
+    def _publish_capacity(self) -> None:
+        usable = self.targets.keys() - self.drained
+        self.admission.set_capacity(
+            self.service.name, self.limits.capacity(usable)
+        )
 
 
 class Routes:
-    """Keeps one route for each service, as its newest version says."""
+    """Keeps one route for each service, as its newest version says.
+
+    Attributes:
+        by_name: Route of each service.
+        entries: Entry VMs that share the upstreams.
+    """
 
     def __init__(
-        self, policies: api.PolicyFactory, clock: clock_api.Clock
+        self,
+        policies: api.PolicyFactory,
+        admission: admission_module.Admission,
+        clock: clock_api.Clock,
+        entries: int,
     ) -> None:
         self.by_name: dict[str, Route] = {}
+        self.entries = entries
         self._policies = policies
+        self._admission = admission
         self._clock = clock
 
     def route(self, versioned: model.VersionedService) -> Route | None:
@@ -57,13 +165,24 @@
             self._update(route, versioned.version, service)
         return route
 
+    def remove(self, name: str) -> None:
+        """Forgets a service that was removed."""
+        if self.by_name.pop(name, None) is not None:
+            self._admission.remove_service(name)
+
+    def set_entries(self, entries: int) -> None:
+        """Sets how many entry VMs share the upstreams."""
+        self.entries = entries
+        for route in self.by_name.values():
+            self._update(route, route.version, route.service)
+
     def _create(self, service: model.Service) -> Route:
         now_ms = self._clock.now_ms()
         return Route(
             -1,
             service,
             self._policies(service),
-            {},
+            self._admission,
             retry_budget.RetryBudget(now_ms),
             hedge.RecentLatency(now_ms),
         )
@@ -73,13 +192,4 @@
     ) -> None:
         if service.routing != route.service.routing:
             route.policy = self._policies(service)
-        route.budget.ratio = service.limits.retry_ratio
-        route.version = version
-        route.service = service
-        route.targets = {
-            upstream.upstream_id: transport_api.Target(
-                upstream.upstream_id, upstream.address, upstream.port
-            )
-            for upstream in service.upstreams
-        }
-        route.policy.set_upstreams(service.upstreams, self._clock.now_ms())
+        route.update(version, service, self.entries, self._clock.now_ms())
--- a/src/lovageyoke/transport/api.py
+++ b/src/lovageyoke/transport/api.py
@@ -8,6 +8,7 @@
 
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
+from lovageyoke.transport import timers
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -91,7 +92,13 @@
 
 
 class Transport(abc.ABC):
-    """Sends requests to upstreams."""
+    """Sends requests to upstreams.
+
+    Attributes:
+        timers: Timers that ``run`` calls.
+    """
+
+    timers: timers.Timers
 
     @abc.abstractmethod
     async def send(
--- /dev/null
+++ b/tests/caller/test_limits.py
@@ -0,0 +1,110 @@
+"""Tests of hedges and admission on the path."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.lowlevel
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from fakes import path
+from fakes import scripted_upstream
+
+
+async def stall(peer):
+    await peer.request()
+    await peer.until_closed()
+
+
+@pytest.mark.anyio
+async def test_a_slow_repeatable_request_is_hedged_elsewhere():
+    slow = scripted_upstream.ScriptedUpstream(stall)
+    good = scripted_upstream.ScriptedUpstream()
+    answers = []
+
+    async def call():
+        answers.append(await entry.client.get("/map"))
+
+    async with path.running(slow, good) as entry:
+        entry.policy.drained.add("up-0")
+        for _ in range(50):
+            await entry.client.get("/map")
+        entry.policy.drained.clear()
+        entry.clock.advance(200)
+        spent = entry.route.budget.spent
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call)
+            await slow.until(lambda: slow.requests)
+            entry.clock.advance(1)
+        await slow.until(lambda: slow.ended)
+        spent = entry.route.budget.spent - spent
+    assertions.assert_that(answers[0].text, matchers.Equals("ok"))
+    assertions.assert_that(spent, matchers.Equals(1))
+    marks = dict(good.requests[-1].headers)
+    assertions.assert_that(marks[b"lovageyoke-no-retry"], matchers.Equals(b"1"))
+    assertions.assert_that(
+        entry.policy.in_flight, matchers.Equals({"up-0": 0, "up-1": 0})
+    )
+
+
+@pytest.mark.anyio
+async def test_a_request_beyond_the_upstreams_room_waits_its_turn():
+    release = []
+
+    async def script(peer):
+        await peer.request()
+        await upstream.until(lambda: release)
+        await peer.send(scripted_upstream.OK)
+        await scripted_upstream.answer_all(peer)
+
+    upstream = scripted_upstream.ScriptedUpstream(script)
+    answers = []
+
+    async def call():
+        answers.append(await entry.client.get("/map"))
+
+    async with path.running(upstream) as entry:
+        control = entry.app.admission.control
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(call)
+            await upstream.until(lambda: len(upstream.requests) == 2)
+            while not control.lines["booking"].waiting:
+                await anyio.lowlevel.checkpoint()
+            in_flight = dict(entry.policy.in_flight)
+            release.append(True)
+            upstream.changed()
+    assertions.assert_that(in_flight, matchers.Equals({"up-0": 2}))
+    assertions.assert_that(
+        [answer.text for answer in answers], matchers.Equals(["ok"] * 3)
+    )
+
+
+@pytest.mark.anyio
+async def test_a_request_that_waits_in_vain_is_not_run():
+    upstream = scripted_upstream.ScriptedUpstream(stall)
+    answers = []
+
+    async def call():
+        answers.append(await entry.client.get("/map"))
+
+    async with (
+        path.running(upstream) as entry,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(call)
+        tasks.start_soon(call)
+        await upstream.until(lambda: len(upstream.requests) == 2)
+        tasks.start_soon(call)
+        while not entry.app.admission.control.lines["booking"].waiting:
+            await anyio.lowlevel.checkpoint()
+        entry.clock.advance(500)
+        while not answers:
+            await anyio.lowlevel.checkpoint()
+        tasks.cancel_scope.cancel()
+    assertions.assert_that(answers[0].status_code, matchers.Equals(503))
+    assertions.assert_that(
+        answers[0].headers["lovageyoke-outcome"], matchers.Equals("not-run")
+    )
+    assertions.assert_that(upstream.requests, matchers.HasLength(2))
--- a/tests/fakes/path.py
+++ b/tests/fakes/path.py
@@ -44,10 +44,14 @@
     transport: pool.PooledTransport
     port: int
     client: httpx.AsyncClient
-    tasks: anyio.abc.TaskGroup
+    app: app.App
     stop: anyio.Event
     received: int = 0
 
+    @property
+    def route(self):
+        return self.app.routes.by_name["booking"]
+
     async def until_received(self, count: int) -> None:
         """Waits until the caller has ``count`` bytes of its answer."""
         while self.received != count:
@@ -122,7 +126,7 @@
                 transport,
                 port,
                 client,
-                tasks,
+                application,
                 stop,
             )
         tasks.cancel_scope.cancel()
