Refuse hostile callers and keep their connections to HTTP/1.1

Cause: a clear-text HTTP/2 preface stopped the idle timer of the server library and held its connection for good (a test saw no close in 10 s); a body could come as slowly as its caller liked. Change: the library's protocol no longer changes to HTTP/2; a body has to be whole by the request's deadline, else the answer is not-run.

--- a/src/lovageyoke/caller/app.py
+++ b/src/lovageyoke/caller/app.py
@@ -49,7 +49,9 @@
     ) -> None:
         self.admission = admission
         self.routes = routes.Routes(policies, admission, clock, entries)
-        self._intake = intake.Intake(services, self.routes, clock)
+        self._intake = intake.Intake(
+            services, self.routes, clock, transport.timers
+        )
         dispatcher = dispatch.Dispatcher(transport, clock, on_drain)
         self._forwarder = forward.Forwarder(dispatcher)
         self._claimed = claimed.ClaimedForwarder(dispatcher, claims)
--- a/src/lovageyoke/caller/body.py
+++ b/src/lovageyoke/caller/body.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import anyio
+
 from lovageyoke.caller import api
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
+from lovageyoke.transport import timers
 
 Kind = kinds.ErrorKind
 
@@ -22,6 +25,30 @@
         )
 
 
+async def read_before(
+    limit_ms: float,
+    clockwork: timers.Timers,
+    receive: api.Receive,
+    most_bytes: int,
+) -> bytes:
+    """Returns the whole body, if it comes by a monotonic time.
+
+    Raises:
+        CallerError: Kind BODY_TOO_LARGE, CALLER_GONE or
+            DEADLINE_BEFORE_DISPATCH.
+    """
+    with anyio.CancelScope() as scope:
+        timer = clockwork.call_at(limit_ms, scope.cancel)
+        try:
+            return await read(receive, most_bytes)
+        finally:
+            timer.cancel()
+    raise exceptions.CallerError(
+        "the request body was not whole in time",
+        Kind.DEADLINE_BEFORE_DISPATCH,
+    )
+
+
 async def read(receive: api.Receive, most_bytes: int) -> bytes:
     """Returns the whole body.
 
--- a/src/lovageyoke/caller/intake.py
+++ b/src/lovageyoke/caller/intake.py
@@ -19,9 +19,11 @@
 from lovageyoke.idempotency import identity
 from lovageyoke.retry import marks as call_marks
 from lovageyoke.transport import api as transport_api
+from lovageyoke.transport import timers
 
 Kind = kinds.ErrorKind
 
+_FRAMING = (b"content-length", b"transfer-encoding")
 _IDEMPOTENT_METHODS = frozenset(
     (b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE", b"TRACE")
 )
@@ -35,10 +37,12 @@
         services: api.ServiceDirectory,
         routes_: routes.Routes,
         clock: clock_api.Clock,
+        clockwork: timers.Timers,
     ) -> None:
         self._services = services
         self._routes = routes_
         self._clock = clock
+        self._timers = clockwork
 
     async def read(
         self, scope: api.Scope, receive: api.Receive
@@ -57,8 +61,15 @@
             headers.value_of(scope_headers, b"content-length"),
             limits.max_body_bytes,
         )
-        body = await body_module.read(receive, limits.max_body_bytes)
         marks = call_marks.parse(scope_headers)
+        deadline_ms = call_marks.deadline_ms(
+            marks, start_ms, limits.deadline_ms
+        )
+        body = b""
+        if _has_body(scope_headers):
+            body = await body_module.read_before(
+                deadline_ms, self._timers, receive, limits.max_body_bytes
+            )
         request = _request_of(scope, body)
         identified = _identify(route.service, scope, request)
         claim = None
@@ -69,7 +80,7 @@
             route,
             request,
             claim,
-            call_marks.deadline_ms(marks, start_ms, limits.deadline_ms),
+            deadline_ms,
             reads_chunks=scope["http_version"] != "1.0",
             marks=marks,
         )
@@ -92,6 +103,10 @@
         raise exceptions.CallerError("the request target must be a path")
 
 
+def _has_body(scope_headers: list[tuple[bytes, bytes]]) -> bool:
+    return any(name in _FRAMING for name, _ in scope_headers)
+
+
 def _request_of(scope: api.Scope, body: bytes) -> transport_api.Request:
     method = scope["method"].encode("ascii")
     target = scope["raw_path"]
--- a/src/lovageyoke/caller/server.py
+++ b/src/lovageyoke/caller/server.py
@@ -14,6 +14,7 @@
 import hypercorn.config
 
 from lovageyoke.caller import api
+from lovageyoke.caller import http1
 from lovageyoke.transport import sockets
 
 BACKLOG = 1_024
@@ -55,6 +56,11 @@
     return sock
 
 
+def prepare(listener: socket.socket) -> None:
+    """Sets the options that connections inherit from their listener."""
+    sockets.set_liveness_options(listener, CALLER_UNACKNOWLEDGED_MS)
+
+
 def configure(
     listener: socket.socket, options: ServerOptions
 ) -> hypercorn.config.Config:
@@ -93,8 +99,8 @@
         options: How connections are treated.
     """
     config = configure(listener, options or ServerOptions())
-    # Connections inherit the options of their listener.
-    sockets.set_liveness_options(listener, CALLER_UNACKNOWLEDGED_MS)
+    http1.install()
+    prepare(listener)
     # The server library takes ownership of the file descriptor.
     listener.detach()
     stopping = anyio.Event()
