Carry peer messages over authenticated WebSocket connections

Cause: entries need typed messages between processes that nobody else can read into, replay or forge, and that notice connections gone silent. Change: WebsocketChannel connects to each peer it has an address of, with jittered reconnect, pings, bounded queues and message sizes. Both sides prove a shared key over fresh nonces; the newest common key is chosen, so a key is replaced without a gap. Every message carries a 16-byte seal over a counter, with a key for each direction. With TLS, the certificate must name the entry. A request that times out without any byte from the peer closes the connection. Fault found by the tests and mended: a request after such a close could take the closed connection again before its task had ended.

--- /dev/null
+++ b/src/lovageyoke/peer/connection.py
@@ -0,0 +1,213 @@
+"""One authenticated connection between two entries."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+import attrs
+from loguru import logger
+from websockets import exceptions as websockets_exceptions
+from websockets.asyncio import connection as websockets_connection
+
+from lovageyoke.errors import exceptions
+from lovageyoke.peer import api
+from lovageyoke.peer import codec as codec_lib
+from lovageyoke.peer import frames
+from lovageyoke.peer import waiter as waiter_lib
+from lovageyoke.security import handshake
+
+MAX_QUEUED = 256
+MAX_HANDLING = 64
+MS_PER_SECOND = 1_000
+
+Handlers = dict[type[api.Message], api.Handler]
+
+
+@attrs.frozen
+class Wire:
+    """What all connections of a channel share.
+
+    Attributes:
+        codec: The messages that are understood.
+        handlers: Handlers by message type.
+    """
+
+    codec: codec_lib.Codec
+    handlers: Handlers
+
+
+class Connection:
+    """Carries messages both ways until either side closes it.
+
+    Attributes:
+        peer_id: The proven entry id of the other side.
+        closed: Whether it can't be used any more.
+        ended: Set when ``run`` has returned.
+    """
+
+    def __init__(
+        self,
+        socket: websockets_connection.Connection,
+        session: handshake.Session,
+        wire: Wire,
+    ) -> None:
+        self.peer_id = session.peer_id
+        self.closed = False
+        self.ended = anyio.Event()
+        self._socket = socket
+        self._session = session
+        self._wire = wire
+        self._waiting: dict[int, waiter_lib.Waiter] = {}
+        self._next = 0
+        self._received = 0
+        self._limit = anyio.Semaphore(MAX_HANDLING)
+        self._into, self._out_of = anyio.create_memory_object_stream[bytes](
+            MAX_QUEUED
+        )
+
+    async def run(self) -> None:
+        """Reads and writes until the connection ends."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write)
+                await self._read(tasks)
+                tasks.cancel_scope.cancel()
+        finally:
+            self.closed = True
+            self._into.close()
+            self._out_of.close()
+            self._abandon_requests()
+            self._socket.transport.abort()
+            self.ended.set()
+
+    def send(self, message: api.Message) -> None:
+        """Queues a message that wants no reply.
+
+        Raises:
+            PeerError: The connection is closed or its queue is full.
+        """
+        data = self._wire.codec.encode(message)
+        self._queue(frames.Frame(frames.FrameKind.SEND, 0, data))
+
+    async def request(
+        self, message: api.Message, timeout_ms: float
+    ) -> api.Message:
+        """Sends a message and waits for its reply.
+
+        A connection on which nothing at all arrives while a request times out
+        is closed, because it may have gone silent for good.
+
+        Raises:
+            PeerError: No reply in time, or the peer's handler failed.
+        """
+        received = self._received
+        correlation = self._next = (self._next + 1) % frames.MAX_CORRELATION
+        waiter = self._waiting[correlation] = waiter_lib.Waiter()
+        data = self._wire.codec.encode(message)
+        kind = frames.FrameKind.REQUEST
+        try:
+            self._queue(frames.Frame(kind, correlation, data))
+            with anyio.move_on_after(timeout_ms / MS_PER_SECOND):
+                await waiter.resolved.wait()
+        finally:
+            self._waiting.pop(correlation, None)
+        if waiter.reply is not None:
+            return waiter.reply
+        if waiter.problem:
+            raise exceptions.PeerError(f"{self.peer_id}: {waiter.problem}")
+        if received == self._received:
+            self.close()
+        raise exceptions.PeerError(f"no reply from {self.peer_id} in time")
+
+    def close(self) -> None:
+        """Ends the connection at once; ``run`` returns."""
+        self.closed = True
+        self._socket.transport.abort()
+
+    def _queue(self, frame: frames.Frame) -> None:
+        if self.closed:
+            raise exceptions.PeerError(f"{self.peer_id}: connection closed")
+        try:
+            self._into.send_nowait(frames.encode(frame))
+        except anyio.WouldBlock:
+            raise exceptions.PeerError(f"{self.peer_id}: queue full") from None
+
+    async def _write(self) -> None:
+        try:
+            async for data in self._out_of:
+                await self._socket.send(self._session.outgoing.seal(data))
+        except websockets_exceptions.ConnectionClosed:
+            self.close()
+
+    async def _read(self, tasks: anyio.abc.TaskGroup) -> None:
+        try:
+            while True:
+                sealed = await self._socket.recv(decode=False)
+                self._received += 1
+                data = self._session.incoming.open(sealed)
+                await self._on_frame(frames.decode(data), tasks)
+        except websockets_exceptions.ConnectionClosed:
+            return
+        except exceptions.DecodeError as error:
+            logger.warning(
+                "closing the connection to {}: {}", self.peer_id, error.detail
+            )
+
+    async def _on_frame(
+        self, frame: frames.Frame, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        if frame.kind is frames.FrameKind.ERROR:
+            text = frame.data.decode("utf-8", "replace")
+            self._settle(frame.correlation, None, text)
+            return
+        message = self._wire.codec.decode(frame.data)
+        if frame.kind is frames.FrameKind.REPLY:
+            self._settle(frame.correlation, message, "")
+            return
+        await self._limit.acquire()
+        tasks.start_soon(self._handle, frame, message)
+
+    def _settle(
+        self, correlation: int, reply: api.Message | None, problem: str
+    ) -> None:
+        waiter = self._waiting.get(correlation)
+        if waiter is not None:
+            waiter.settle(reply, problem)
+
+    async def _handle(self, frame: frames.Frame, message: api.Message) -> None:
+        try:
+            reply = await self._reply_to(message)
+        finally:
+            self._limit.release()
+        if frame.kind is not frames.FrameKind.REQUEST:
+            return
+        try:
+            self._queue(attrs.evolve(reply, correlation=frame.correlation))
+        except exceptions.PeerError as error:
+            logger.warning("reply dropped: {}", error.detail)
+
+    async def _reply_to(self, message: api.Message) -> frames.Frame:
+        handler = self._wire.handlers.get(type(message))
+        if handler is None:
+            return _error(f"no handler for {type(message).__name__}")
+        try:
+            reply = await handler(self.peer_id, message)
+        except exceptions.LovageyokeError as error:
+            return _error(error.detail)
+        except Exception as error:
+            logger.opt(exception=error).error(
+                "handler of {} failed", type(message).__name__
+            )
+            return _error("internal error")
+        if reply is None:
+            return _error("no reply")
+        data = self._wire.codec.encode(reply)
+        return frames.Frame(frames.FrameKind.REPLY, 0, data)
+
+    def _abandon_requests(self) -> None:
+        for waiter in list(self._waiting.values()):
+            waiter.settle(None, "connection closed")
+
+
+def _error(detail: str) -> frames.Frame:
+    return frames.Frame(frames.FrameKind.ERROR, 0, detail.encode())
--- a/src/lovageyoke/peer/fake.py
+++ b/src/lovageyoke/peer/fake.py
@@ -15,6 +15,7 @@
 from lovageyoke.errors import exceptions
 from lovageyoke.peer import api
 from lovageyoke.peer import codec as codec_lib
+from lovageyoke.peer import waiter as waiter_lib
 
 
 @attrs.define
@@ -105,9 +106,9 @@
 
     def post_request(
         self, source: str, target: str, message: api.Message
-    ) -> Waiter:
+    ) -> waiter_lib.Waiter:
         """Sends a message and returns what will hold its reply."""
-        waiter = Waiter()
+        waiter = waiter_lib.Waiter()
         self._post(source, target, message, waiter)
         return waiter
 
@@ -116,7 +117,7 @@
         source: str,
         target: str,
         message: api.Message,
-        waiter: Waiter | None,
+        waiter: waiter_lib.Waiter | None,
     ) -> None:
         if self._tasks is None:
             raise exceptions.PeerError("the network is not running")
@@ -132,7 +133,7 @@
         target: str,
         message: api.Message,
         delay_ms: float,
-        waiter: Waiter | None,
+        waiter: waiter_lib.Waiter | None,
     ) -> None:
         await self.clock.sleep_ms(delay_ms)
         channel = self.channels.get(target)
@@ -145,7 +146,7 @@
         for reply_delay_ms in self._delays_ms()[:1]:
             await self.clock.sleep_ms(reply_delay_ms)
             if self._connected(target, source):
-                waiter.resolve(reply)
+                waiter.settle(reply)
 
     def _connected(self, source: str, target: str) -> bool:
         if source in self.silent or target in self.silent:
@@ -172,25 +173,6 @@
         return self._codec.decode(data)
 
 
-class Waiter:
-    """A place for one reply.
-
-    Attributes:
-        reply: The reply, once it is there.
-        resolved: Set when the reply is there.
-    """
-
-    def __init__(self) -> None:
-        self.reply: api.Message | None = None
-        self.resolved = anyio.Event()
-
-    def resolve(self, reply: api.Message) -> None:
-        """Stores the first reply; ignores later ones."""
-        if self.reply is None:
-            self.reply = reply
-            self.resolved.set()
-
-
 class FakeChannel(api.PeerChannel):
     """One entry's end of a ``FakeNetwork``.
 
--- /dev/null
+++ b/src/lovageyoke/peer/websocket.py
@@ -0,0 +1,319 @@
+"""Peer channels over WebSocket connections."""
+
+from __future__ import annotations
+
+import random
+import socket
+import ssl
+from typing import Any
+
+import anyio
+import anyio.abc
+import attrs
+from loguru import logger
+from websockets import exceptions as websockets_exceptions
+from websockets.asyncio import client as websockets_client
+from websockets.asyncio import connection as websockets_connection
+from websockets.asyncio import server as websockets_server
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.errors import exceptions
+from lovageyoke.peer import api
+from lovageyoke.peer import codec as codec_lib
+from lovageyoke.peer import connection as connection_lib
+from lovageyoke.security import handshake
+from lovageyoke.security import tls as tls_lib
+
+MAX_MESSAGE_BYTES = 2_000_000
+MAX_QUEUED_MESSAGES = 16
+MAX_UNAUTHENTICATED = 64
+HANDSHAKE_TIMEOUT_S = 3.0
+CONNECT_TIMEOUT_S = 2.0
+PING_INTERVAL_S = 10.0
+PING_TIMEOUT_S = 5.0
+CLOSE_TIMEOUT_S = 1.0
+FIRST_RETRY_MS = 100.0
+MAX_RETRY_MS = 5_000.0
+
+FAILURES = (
+    OSError,
+    TimeoutError,
+    exceptions.PeerError,
+    websockets_exceptions.WebSocketException,
+)
+
+
+@attrs.frozen
+class Credentials:
+    """How entries prove who they are to each other.
+
+    Attributes:
+        keys: Shared keys, the newest first; all are accepted.
+        server_tls: TLS context of the listener, or None for plain TCP.
+        client_tls: TLS context of outgoing connections, or None.
+    """
+
+    keys: tuple[str, ...] = attrs.field(repr=False)
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+
+    @keys.validator
+    def _check_keys(self, _: object, keys: tuple[str, ...]) -> None:
+        if not keys:
+            problem = "peers.keys: at least one key is needed"
+            raise exceptions.SettingsError((problem,))
+
+
+@attrs.define(eq=False)
+class Link:
+    """The outgoing connection to one peer.
+
+    Attributes:
+        address: Host and port.
+        connection: The open connection, or None.
+        ready: Set while there is an open connection.
+        scope: Ends the task that keeps the link up.
+    """
+
+    address: str
+    connection: connection_lib.Connection | None = None
+    ready: anyio.Event = attrs.field(factory=anyio.Event)
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+
+    def open(self, connection: connection_lib.Connection) -> None:
+        """Makes a connection available."""
+        self.connection = connection
+        self.ready.set()
+
+    def usable(self) -> connection_lib.Connection | None:
+        """Returns the connection, or None when there is no open one."""
+        if self.connection is not None and self.connection.closed:
+            self.connection = None
+            self.ready = anyio.Event()
+        return self.connection
+
+
+class WebsocketChannel(api.PeerChannel):
+    """Messages to other entries over connections that this task owns.
+
+    Each entry connects to each peer that it sends to; replies come back on
+    the same connection.
+
+    Attributes:
+        entry_id: This entry's id.
+        handlers: Handlers by message type.
+        links: Outgoing connections by entry id.
+    """
+
+    def __init__(
+        self,
+        entry_id: str,
+        listener: socket.socket,
+        codec: codec_lib.Codec,
+        credentials: Credentials,
+        *,
+        clock: clock_api.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.entry_id = entry_id
+        self.handlers: connection_lib.Handlers = {}
+        self.links: dict[str, Link] = {}
+        self._listener = listener
+        self._credentials = credentials
+        self._clock = clock
+        self._rng = rng
+        self._wire = connection_lib.Wire(codec, self.handlers)
+        self._unauthenticated = 0
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Accepts and makes connections until it is cancelled."""
+        server = websockets_server.serve(
+            self._accept,
+            sock=self._listener,
+            ssl=self._credentials.server_tls,
+            **_options(),
+        )
+        async with server, anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            try:
+                for entry_id, link in self.links.items():
+                    tasks.start_soon(self._keep_up, entry_id, link)
+                await anyio.sleep_forever()
+            finally:
+                self._tasks = None
+
+    def set_address(self, entry_id: str, address: str) -> None:
+        """Tells where a peer listens; connects when it is new.
+
+        Args:
+            entry_id: The peer.
+            address: Host and port.
+        """
+        known = self.links.get(entry_id)
+        if known is not None and known.address == address:
+            return
+        self.remove(entry_id)
+        link = self.links[entry_id] = Link(address)
+        if self._tasks is not None:
+            self._tasks.start_soon(self._keep_up, entry_id, link)
+
+    def remove(self, entry_id: str) -> None:
+        """Closes the connection to a peer for good."""
+        link = self.links.pop(entry_id, None)
+        if link is not None:
+            link.scope.cancel()
+
+    def handle(
+        self, message_type: type[api.Message], handler: api.Handler
+    ) -> None:
+        """Registers the handler of a message type."""
+        self.handlers[message_type] = handler
+
+    async def send(self, entry_id: str, message: api.Message) -> None:
+        """Sends a message without a reply; lost without a connection."""
+        link = self.links.get(entry_id)
+        connection = link.usable() if link is not None else None
+        if connection is None:
+            return
+        try:
+            connection.send(message)
+        except exceptions.PeerError as error:
+            logger.debug("message dropped: {}", error.detail)
+
+    async def request(
+        self, entry_id: str, message: api.Message, timeout_ms: float
+    ) -> api.Message:
+        """Sends a message and waits for its reply.
+
+        Raises:
+            PeerError: No reply in time; the peer may have acted.
+        """
+        started_ms = self._clock.now_ms()
+        connection = await self._connection_to(entry_id, timeout_ms)
+        spent_ms = self._clock.now_ms() - started_ms
+        return await connection.request(message, timeout_ms - spent_ms)
+
+    async def _connection_to(
+        self, entry_id: str, timeout_ms: float
+    ) -> connection_lib.Connection:
+        link = self.links.get(entry_id)
+        if link is None:
+            raise exceptions.PeerError(f"no address of {entry_id} is known")
+        timeout_s = timeout_ms / connection_lib.MS_PER_SECOND
+        with anyio.move_on_after(timeout_s):
+            while True:
+                connection = link.usable()
+                if connection is not None:
+                    return connection
+                await link.ready.wait()
+        raise exceptions.PeerError(f"no connection to {entry_id}")
+
+    async def _keep_up(self, entry_id: str, link: Link) -> None:
+        delay_ms = FIRST_RETRY_MS
+        with link.scope:
+            while True:
+                if await self._connect_once(entry_id, link):
+                    delay_ms = FIRST_RETRY_MS
+                jitter = self._rng.uniform(0.5, 1.5)
+                await self._clock.sleep_ms(delay_ms * jitter)
+                delay_ms = min(delay_ms * 2, MAX_RETRY_MS)
+
+    async def _connect_once(self, entry_id: str, link: Link) -> bool:
+        """Runs one connection; returns whether the handshake succeeded."""
+        try:
+            async with self._dial(entry_id, link.address) as dialled:
+                session = await self._authenticate(entry_id, dialled)
+                connection = connection_lib.Connection(
+                    dialled, session, self._wire
+                )
+                await self._use(link, connection)
+        except FAILURES as error:
+            logger.debug("connection to {} failed: {}", entry_id, error)
+            return False
+        return True
+
+    async def _use(
+        self, link: Link, connection: connection_lib.Connection
+    ) -> None:
+        link.open(connection)
+        try:
+            await connection.run()
+        finally:
+            link.usable()
+
+    def _dial(self, entry_id: str, address: str) -> websockets_client.connect:
+        context = self._credentials.client_tls
+        scheme = "ws" if context is None else "wss"
+        options = _options()
+        if context is not None:
+            options["server_hostname"] = entry_id
+        return websockets_client.connect(
+            f"{scheme}://{address}/", ssl=context, proxy=None, **options
+        )
+
+    async def _authenticate(
+        self, entry_id: str, dialled: websockets_connection.Connection
+    ) -> handshake.Session:
+        ours = handshake.Connecting(
+            self.entry_id, entry_id, self._credentials.keys
+        )
+        with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+            await dialled.send(ours.hello())
+            challenge = await dialled.recv(decode=False)
+            proof, session = ours.answer(challenge)
+            await dialled.send(proof)
+        return session
+
+    async def _accept(
+        self, accepted: websockets_server.ServerConnection
+    ) -> None:
+        if self._unauthenticated >= MAX_UNAUTHENTICATED:
+            logger.warning("too many unauthenticated peer connections")
+            accepted.transport.abort()
+            return
+        try:
+            session = await self._check(accepted)
+        except FAILURES as error:
+            logger.warning("peer connection refused: {}", error)
+            accepted.transport.abort()
+            return
+        await connection_lib.Connection(accepted, session, self._wire).run()
+
+    async def _check(
+        self, accepted: websockets_server.ServerConnection
+    ) -> handshake.Session:
+        self._unauthenticated += 1
+        try:
+            with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+                return await self._shake_hands(accepted)
+        finally:
+            self._unauthenticated -= 1
+
+    async def _shake_hands(
+        self, accepted: websockets_server.ServerConnection
+    ) -> handshake.Session:
+        ours = handshake.Accepting(self.entry_id, self._credentials.keys)
+        hello = await accepted.recv(decode=False)
+        await accepted.send(ours.challenge(hello))
+        session = ours.finish(await accepted.recv(decode=False))
+        secured = accepted.transport.get_extra_info("ssl_object")
+        if secured is not None and not tls_lib.has_name(
+            secured, session.peer_id
+        ):
+            raise exceptions.PeerError(
+                f"the certificate is not for {session.peer_id}"
+            )
+        return session
+
+
+def _options() -> dict[str, Any]:
+    return {
+        "compression": None,
+        "max_size": MAX_MESSAGE_BYTES,
+        "max_queue": MAX_QUEUED_MESSAGES,
+        "open_timeout": CONNECT_TIMEOUT_S,
+        "ping_interval": PING_INTERVAL_S,
+        "ping_timeout": PING_TIMEOUT_S,
+        "close_timeout": CLOSE_TIMEOUT_S,
+    }
--- /dev/null
+++ b/src/lovageyoke/security/__init__.py
@@ -0,0 +1,3 @@
+"""Keys and TLS contexts."""
+
+from __future__ import annotations
