Name the type of a reply's place where it moved to

Cause: the place for a reply is shared by the fake and the real channel and has moved to its own module; the soak's network still named the old one. Change: the annotation follows it. Conclusion: mypy passes on the merged tree.

--- a/src/lovageyoke/soak/fleet.py
+++ b/src/lovageyoke/soak/fleet.py
@@ -16,6 +16,7 @@
 from lovageyoke.peer import api as peer_api
 from lovageyoke.peer import codec
 from lovageyoke.peer import fake as fake_peer
+from lovageyoke.peer import waiter
 from lovageyoke.platform import fake as fake_platform
 from lovageyoke.platform import faults
 from lovageyoke.platform import store
@@ -48,7 +49,7 @@
 
     def post_request(
         self, source: str, target: str, message: peer_api.Message
-    ) -> fake_peer.Waiter:
+    ) -> waiter.Waiter:
         """Sends a message and returns what will hold its reply."""
         self.trace.step("message", source, target, type(message).__name__)
         if self.rng.random() < LATE_COPY_SHARE:
