Run an entry VM: operators, probing, metrics and the serve command

Cause: the parts of an entry had no process that runs them from settings. Change: `serve` binds the sockets, follows the configuration, keeps routing and probing in step with it, answers operators and metric scrapes, and stops gracefully at SIGTERM. A service states the path of its load reports.

--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -11,6 +11,7 @@
 from lovageyoke.cli import demo
 from lovageyoke.cli import drain
 from lovageyoke.cli import plan
+from lovageyoke.cli import serve
 from lovageyoke.cli import services
 from lovageyoke.cli import settings_check
 from lovageyoke.cli import soak
@@ -27,6 +28,7 @@
     demo,
     drain,
     plan,
+    serve,
     services,
     settings_check,
     soak,
--- a/src/lovageyoke/config/model.py
+++ b/src/lovageyoke/config/model.py
@@ -16,6 +16,7 @@
 DEFAULT_MAX_BODY_BYTES = 8_000_000
 DEFAULT_RETENTION_MS = 24 * 3_600 * 1_000
 DEFAULT_RETRY_RATIO = 0.1
+DEFAULT_PROBE_PATH = "/-/load"
 DEFAULT_PROBES_PER_S = 20.0
 
 MAX_PORT = 65_535
@@ -128,6 +129,7 @@
         preset: Weight between probing cost and tail latency.
         probes_per_s: Probes a second that the whole fleet may send for this
             service.
+        probe_path: Path at which its upstreams report their load.
     """
 
     policy: str = "pool"
@@ -135,6 +137,7 @@
     probes_per_s: float = checks.checked(
         checks.Between(0, MAX_PROBES_PER_S), default=DEFAULT_PROBES_PER_S
     )
+    probe_path: str = checks.checked(PATH_PREFIX, default=DEFAULT_PROBE_PATH)
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/lovageyoke/entry/metrics.py
@@ -0,0 +1,117 @@
+"""Metrics of an entry VM."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from lovageyoke.observe import metrics
+
+if TYPE_CHECKING:
+    from lovageyoke.entry import process
+
+METRICS_PATH = "/metrics"
+CONTENT_TYPE = "text/plain; version=0.0.4"
+
+_COUNTER = metrics.MetricKind.COUNTER
+_GAUGE = metrics.MetricKind.GAUGE
+_BY_SERVICE = ("service",)
+
+SERVICES = metrics.Metric("services", _GAUGE, "Services in force.")
+READY = metrics.Metric(
+    "configuration_ready", _GAUGE, "1 once a whole configuration is known."
+)
+ENTRIES = metrics.Metric("entries", _GAUGE, "Entry VMs known.")
+ENTRIES_CURRENT = metrics.Metric(
+    "entries_current", _GAUGE, "Entry VMs that run this configuration."
+)
+PLATFORM_CALLS = metrics.Metric(
+    "platform_configuration_calls_total",
+    _COUNTER,
+    "Calls to the platform for the configuration.",
+)
+PLATFORM_FAILING = metrics.Metric(
+    "platform_failing", _GAUGE, "1 while the last platform call failed."
+)
+PROBES_SENT = metrics.Metric(
+    "probes_sent_total", _COUNTER, "Probes sent.", _BY_SERVICE
+)
+PROBES_FAILED = metrics.Metric(
+    "probes_failed_total",
+    _COUNTER,
+    "Probes without a report, those timed out included.",
+    _BY_SERVICE,
+)
+PROBE_RIGHTS = metrics.Metric(
+    "probe_rights",
+    _GAUGE,
+    "Probes that this entry VM may send in one window of the budget.",
+    _BY_SERVICE,
+)
+IN_FLIGHT = metrics.Metric(
+    "requests_in_flight", _GAUGE, "Requests admitted and not ended."
+)
+
+ALL = (
+    SERVICES,
+    READY,
+    ENTRIES,
+    ENTRIES_CURRENT,
+    PLATFORM_CALLS,
+    PLATFORM_FAILING,
+    PROBES_SENT,
+    PROBES_FAILED,
+    PROBE_RIGHTS,
+    IN_FLIGHT,
+)
+
+
+class EntryMetrics(metrics.MetricSource):
+    """Reads the metrics of an entry's parts."""
+
+    def __init__(self, entry: process.EntryProcess) -> None:
+        self._entry = entry
+
+    def samples(self) -> Iterable[metrics.Sample]:
+        """Returns the present values."""
+        yield from self._configuration()
+        yield from self._probing()
+        in_flight = self._entry.app.admission.control.in_use
+        yield metrics.Sample(IN_FLIGHT, in_flight)
+
+    def _configuration(self) -> Iterator[metrics.Sample]:
+        follower = self._entry.follower
+        rollout = follower.rollout()
+        services = self._entry.view.services().values()
+        in_force = sum(each.service is not None for each in services)
+        yield metrics.Sample(SERVICES, in_force)
+        yield metrics.Sample(READY, int(rollout.ready))
+        yield metrics.Sample(ENTRIES, rollout.entries)
+        yield metrics.Sample(ENTRIES_CURRENT, rollout.current)
+        yield metrics.Sample(PLATFORM_CALLS, follower.source.calls)
+        yield metrics.Sample(PLATFORM_FAILING, int(follower.source.failing))
+
+    def _probing(self) -> Iterator[metrics.Sample]:
+        for name, service in self._entry.prober.services.items():
+            labels = {"service": name}
+            counters = service.scheduler.counters
+            failed = counters.failed + counters.timed_out
+            rights = service.scheduler.counters.rights
+            yield metrics.Sample(PROBES_SENT, counters.sent, labels)
+            yield metrics.Sample(PROBES_FAILED, failed, labels)
+            yield metrics.Sample(PROBE_RIGHTS, rights, labels)
+
+
+def route(registry: metrics.MetricRegistry) -> routing.Route:
+    """Returns the route at which metrics are scraped."""
+
+    async def scrape(request: requests.Request) -> responses.Response:
+        del request
+        return responses.Response(registry.render(), media_type=CONTENT_TYPE)
+
+    return routing.Route(METRICS_PATH, scrape)
