--- a/src/lovageyoke/platform/http.py
+++ b/src/lovageyoke/platform/http.py
@@ -52,17 +52,17 @@
         self.base_url = base_url
         self.call_timeout_ms = call_timeout_ms
         self._tls = tls
-        self._calls = self._client(MAX_CONNECTIONS)
+        self._client = self._new_client(MAX_CONNECTIONS)
         # The pool's cost per call grows with its connections, so watches,
         # which hold one each for long, have a pool of their own.
-        self._watches = self._client(MAX_WATCH_CONNECTIONS)
+        self._watch_client = self._new_client(MAX_WATCH_CONNECTIONS)
 
     async def aclose(self) -> None:
         """Closes the connections."""
-        await self._calls.aclose()
-        await self._watches.aclose()
+        await self._client.aclose()
+        await self._watch_client.aclose()
 
-    def _client(self, most: int) -> httpx.AsyncClient:
+    def _new_client(self, most: int) -> httpx.AsyncClient:
         return httpx.AsyncClient(
             base_url=self.base_url,
             verify=self._tls if self._tls is not None else True,
@@ -178,7 +178,7 @@
         timeout_ms: int | None,
     ) -> httpx.Response:
         bound_ms = timeout_ms or self.call_timeout_ms
-        client = self._calls if timeout_ms is None else self._watches
+        client = self._client if timeout_ms is None else self._watch_client
         with anyio.fail_after(bound_ms / MS_PER_SECOND):
             return await client.request(
                 method, path, params=params, content=body
