Run membership as a task of the entry

Cause: the membership state and the probe share need heartbeats sent, the platform's list read and the roster kept, within a bounded number of calls. Change: MembershipTask runs them over a PeerChannel and a Platform. Small fleets read the list every five seconds; larger ones only while a neighbour is silent, with growing intervals. A leaving entry gives up its shards first, then its slot, and says farewell. A process whose id was taken over ends with SupersededError.

--- a/src/lovageyoke/bench/membership_fleet.py
+++ b/src/lovageyoke/bench/membership_fleet.py
@@ -113,7 +113,7 @@
         )
         others = sorted(set(self.processes) - {entry_id})
         chosen = self.rng.sample(others, min(len(others), MAX_CONTACTS))
-        state.add_contacts(dict.fromkeys(chosen, ""))
+        state.set_contacts(dict.fromkeys(chosen, ""))
         process = Process(state, region)
         self.processes[entry_id] = process
         self.vms[entry_id] = platform_api.VmState.LIVE
--- a/src/lovageyoke/errors/exceptions.py
+++ b/src/lovageyoke/errors/exceptions.py
@@ -123,3 +123,7 @@
 
 class SupervisorError(LovageyokeError):
     """A supervised child failed and may not be restarted again."""
+
+
+class SupersededError(LovageyokeError):
+    """Another process with this entry's id has started later."""
--- a/src/lovageyoke/membership/state.py
+++ b/src/lovageyoke/membership/state.py
@@ -141,12 +141,12 @@
             if self.members.listing.is_leaving(record.entry_id):
                 self._on_listed_as_leaving(record, now_ms)
 
-    def add_contacts(self, addresses: dict[str, str]) -> None:
-        """Makes contact with entries, by id and address, that are unknown."""
+    def set_contacts(self, addresses: dict[str, str]) -> None:
+        """Replaces the entries to make contact with, by id and address."""
         known = self.members.states
         self._contacts = {
             entry_id: address
-            for entry_id, address in (self._contacts | addresses).items()
+            for entry_id, address in addresses.items()
             if entry_id not in known
         }
 
--- /dev/null
+++ b/src/lovageyoke/membership/task.py
@@ -0,0 +1,213 @@
+"""Runs membership over a peer channel and the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+import anyio
+import attrs
+from loguru import logger
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.errors import exceptions
+from lovageyoke.membership import api
+from lovageyoke.membership import messages
+from lovageyoke.membership import roster_keeper
+from lovageyoke.membership import share as share_lib
+from lovageyoke.membership import spread as spread_lib
+from lovageyoke.membership import state as state_lib
+from lovageyoke.membership import timing as timing_lib
+from lovageyoke.membership import view as view_lib
+from lovageyoke.peer import api as peer_api
+from lovageyoke.platform import api as platform_api
+
+LIST_MS = 5_000.0
+MAX_LIST_MS = 300_000.0
+MAX_POLLING_MEMBERS = 32
+RELEASE_TIMEOUT_MS = 2_000.0
+
+
+@attrs.frozen
+class Links:
+    """How the task tells a channel where peers are.
+
+    Attributes:
+        connect: Takes an entry id and its peer address.
+        disconnect: Takes the id of an entry that is gone.
+    """
+
+    connect: Callable[[str, str], None]
+    disconnect: Callable[[str], None]
+
+
+class MembershipTask:
+    """Owns the membership of one process.
+
+    Attributes:
+        state: The membership state.
+        share: This process's share of the probe budgets.
+        keeper: Keeps the slot of the share.
+        view: What the rest of the entry asks.
+        contacts: Peer addresses by entry id from the settings, for use while
+            the platform does not answer.
+    """
+
+    def __init__(
+        self,
+        own: messages.MemberRecord,
+        channel: peer_api.PeerChannel,
+        platform: platform_api.Platform,
+        *,
+        links: Links,
+        clock: clock_api.Clock,
+        rng: random.Random,
+        spreads: tuple[spread_lib.Spread, ...] = (),
+        contacts: dict[str, str] | None = None,
+        timing: timing_lib.Timing | None = None,
+        min_capacity: int = 1,
+    ) -> None:
+        self.state = state_lib.MembershipState(
+            own, rng, clock.now_ms(), spreads, timing
+        )
+        self.share = share_lib.ProbeShare(self.state.holder)
+        self.keeper = roster_keeper.RosterKeeper(
+            self.state,
+            self.share,
+            platform,
+            clock=clock,
+            rng=rng,
+            min_capacity=min_capacity,
+        )
+        self.view = view_lib.LiveMembership(self.state, self.share, clock)
+        self.contacts = contacts or {}
+        self._channel = channel
+        self._platform = platform
+        self._links = links
+        self._clock = clock
+        self._rng = rng
+        self._connected: set[str] = set()
+        self._list_due_ms = clock.now_ms()
+        self._list_ms = LIST_MS
+        self._stopped = anyio.Event()
+        for message_type in messages.MESSAGES:
+            channel.handle(message_type, self._on_message)
+
+    async def run(self) -> None:
+        """Runs until ``stop`` is called.
+
+        Raises:
+            SupersededError: Another process runs with this entry's id.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.keeper.run)
+            tasks.start_soon(self._follow_list)
+            tasks.start_soon(self._tick_for_ever)
+            await self._stopped.wait()
+            tasks.cancel_scope.cancel()
+        if self.state.superseded:
+            raise exceptions.SupersededError(
+                f"another process runs as {self.state.own.entry_id}"
+            )
+
+    def leave(self) -> None:
+        """Tells the others that this entry leaves, while it still serves."""
+        self.state.leave(self._clock.now_ms())
+
+    async def stop(self) -> None:
+        """Gives up the probe share, says farewell and ends ``run``."""
+        self.leave()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._time_out, tasks.cancel_scope)
+            await self.keeper.release()
+            tasks.cancel_scope.cancel()
+        await self._send_all(self.state.farewell(self._clock.now_ms()))
+        self._stopped.set()
+
+    def announce(self) -> None:
+        """Sends what the spread providers have to say with the next tick."""
+        self.state.urgent = True
+
+    async def _time_out(self, scope: anyio.CancelScope) -> None:
+        await self._clock.sleep_ms(RELEASE_TIMEOUT_MS)
+        scope.cancel()
+
+    async def _on_message(self, source: str, message: peer_api.Message) -> None:
+        now_ms = self._clock.now_ms()
+        sends = self.state.receive(source, message, now_ms)
+        if self.state.urgent:
+            sends.extend(self._tick(now_ms))
+        await self._send_all(sends)
+
+    async def _tick_for_ever(self) -> None:
+        while not self.state.superseded:
+            await self._send_all(self._tick(self._clock.now_ms()))
+            await self._clock.sleep_ms(self.state.timing.tick_ms)
+        self._stopped.set()
+
+    def _tick(self, now_ms: float) -> list[state_lib.Send]:
+        self.state.set_contacts(self.contacts | self.keeper.addresses())
+        sends = self.state.tick(now_ms)
+        if self.state.paused:
+            self.share.suspend()
+            self.state.paused = False
+        if self.share.holder != self.state.holder:
+            self.share.change_holder(self.state.holder)
+        for holder, generation in self.state.generations.items():
+            self.share.acknowledge(holder, generation)
+        self._disconnect_dead()
+        return sends
+
+    def _disconnect_dead(self) -> None:
+        states = self.state.members.states
+        dead = {
+            each
+            for each in self._connected
+            if states.get(each) is api.MemberState.DEAD
+        }
+        for entry_id in dead:
+            self._links.disconnect(entry_id)
+        self._connected -= dead
+
+    async def _send_all(self, sends: list[state_lib.Send]) -> None:
+        for send in sends:
+            if send.address:
+                self._connected.add(send.entry_id)
+                self._links.connect(send.entry_id, send.address)
+            await self._channel.send(send.entry_id, send.message)
+
+    async def _follow_list(self) -> None:
+        while True:
+            if self._clock.now_ms() >= self._list_due_ms:
+                await self._read_list()
+            await self._clock.sleep_ms(self.state.timing.tick_ms)
+
+    async def _read_list(self) -> None:
+        asked_ms = self._clock.now_ms()
+        wanted = self._wants_list(asked_ms)
+        if wanted:
+            try:
+                vms = await self._platform.list_vms()
+            except exceptions.PlatformError as error:
+                logger.warning("list of VMs: {}", error.detail)
+                self._list_ms = min(self._list_ms * 2, MAX_LIST_MS)
+            else:
+                self.state.list_vms(vms, asked_ms, self._clock.now_ms())
+                self._list_ms = self._next_list_ms()
+        else:
+            self._list_ms = LIST_MS
+        jitter = self._rng.uniform(0.75, 1.25)
+        self._list_due_ms = self._clock.now_ms() + self._list_ms * jitter
+
+    def _wants_list(self, now_ms: float) -> bool:
+        if self._is_small():
+            return True
+        return self.state.members.needs_listing(now_ms)
+
+    def _next_list_ms(self) -> float:
+        if self._is_small():
+            return LIST_MS
+        return min(self._list_ms * 2, MAX_LIST_MS)
+
+    def _is_small(self) -> bool:
+        return len(self.state.members.states) <= MAX_POLLING_MEMBERS
--- a/src/lovageyoke/membership/view.py
+++ b/src/lovageyoke/membership/view.py
@@ -59,6 +59,8 @@
 
     def probe_divisor(self, now_ms: float) -> int:
         """Returns what this entry's probe share divides by."""
+        if self.state.paused or self.state.is_overdue(now_ms):
+            return api.NO_SHARE_DIVISOR
         return self.share.divisor(now_ms)
 
     def _refresh(self) -> None:
