Measure routing policies in virtual time

Cause: choices between policies need figures under faults. Change: lovageyoke bench policy runs the real policy, limits, admission, retry and probe objects of 16 entries against a small queueing fake of upstreams; bench probe-curve varies the probe budget. Each run asserts the budget in every window of a second. Policies name their usable upstreams, from which the admission's capacity follows.

--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -5,12 +5,21 @@
 import os
 
 from lovageyoke.cli import app
+from lovageyoke.cli import bench_policy
+from lovageyoke.cli import bench_probe_curve
 from lovageyoke.cli import settings_check
 from lovageyoke.cli import standin_platform
 from lovageyoke.cli import standin_upstream
 from lovageyoke.cli import version
 
-COMMANDS = (settings_check, standin_platform, standin_upstream, version)
+COMMANDS = (
+    bench_policy,
+    bench_probe_curve,
+    settings_check,
+    standin_platform,
+    standin_upstream,
+    version,
+)
 
 
 def main() -> None:
--- a/src/lovageyoke/routing/api.py
+++ b/src/lovageyoke/routing/api.py
@@ -80,6 +80,10 @@
             An upstream id, or None when no upstream may be used.
         """
 
+    @abc.abstractmethod
+    def usable_ids(self) -> tuple[str, ...]:
+        """Returns the upstreams that new work may be sent to."""
+
     @abc.abstractmethod
     def dispatched(self, upstream_id: str, now_ms: float) -> None:
         """Records that a request was sent to an upstream."""
--- a/src/lovageyoke/routing/tracking.py
+++ b/src/lovageyoke/routing/tracking.py
@@ -76,6 +76,10 @@
         chosen = self.pick(candidates, now_ms)
         return None if chosen is None else chosen.upstream.upstream_id
 
+    def usable_ids(self) -> tuple[str, ...]:
+        """Returns the upstreams that new work may be sent to."""
+        return tuple(known.upstream.upstream_id for known in self.usable)
+
     def dispatched(self, upstream_id: str, now_ms: float) -> None:
         """Counts a request that was sent."""
         known = self.states.get(upstream_id)
