Name usable upstreams in the caller tests' fake policy

Cause: the policy interface gained usable_ids(), and 66 tests could not create their fake. Change: the fake names the upstreams that are not drained. Figures: tests/caller passes after. Conclusion: none of its checks changed.

--- a/tests/fakes/first_policy.py
+++ b/tests/fakes/first_policy.py
@@ -21,6 +21,11 @@
                 return upstream_id
         return None
 
+    def usable_ids(self):
+        return tuple(
+            each for each in self.upstream_ids if each not in self.drained
+        )
+
     def dispatched(self, upstream_id, now_ms):
         count = self.in_flight.get(upstream_id, 0)
         self.in_flight[upstream_id] = count + 1
