--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -7,6 +7,8 @@
 from lovageyoke.cli import addresses
 from lovageyoke.cli import app
 from lovageyoke.cli import audit
+from lovageyoke.cli import bench_policy
+from lovageyoke.cli import bench_probe_curve
 from lovageyoke.cli import confirm
 from lovageyoke.cli import drain
 from lovageyoke.cli import plan
@@ -22,6 +24,8 @@
 COMMANDS = (
     addresses,
     audit,
+    bench_policy,
+    bench_probe_curve,
     confirm,
     drain,
     plan,
