--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -10,8 +10,10 @@
 from lovageyoke.cli import bench_policy
 from lovageyoke.cli import bench_probe_curve
 from lovageyoke.cli import confirm
+from lovageyoke.cli import demo
 from lovageyoke.cli import drain
 from lovageyoke.cli import plan
+from lovageyoke.cli import serve
 from lovageyoke.cli import services
 from lovageyoke.cli import settings_check
 from lovageyoke.cli import soak
@@ -27,8 +29,10 @@
     bench_policy,
     bench_probe_curve,
     confirm,
+    demo,
     drain,
     plan,
+    serve,
     services,
     settings_check,
     soak,
