Join the entries: peers, membership, drains and the segmented log

Cause: entries that don't know of each other overspend the probe budget and learn of a drain only from responses; claims cost a platform key each. Change: the entry process runs the authenticated peer channel, membership, the segmented claim log and one keeper that joins all sources of drains; leaving withdraws the address first and serves on for its lifetime.

--- /dev/null
+++ b/src/lovageyoke/entry/peers.py
@@ -0,0 +1,81 @@
+"""The peer channel of an entry VM."""
+
+from __future__ import annotations
+
+import random
+import socket
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.config import follower as config_follower
+from lovageyoke.config import spread as config_spread
+from lovageyoke.idempotency import messages as claim_messages
+from lovageyoke.membership import messages as membership_messages
+from lovageyoke.membership import spread
+from lovageyoke.peer import codec
+from lovageyoke.peer import websocket
+from lovageyoke.security import tls
+from lovageyoke.settings import model
+
+CODEC = codec.Codec(
+    (
+        *membership_messages.MESSAGES,
+        *config_spread.MESSAGES,
+        *claim_messages.TYPES,
+    )
+)
+
+
+class ConfigDigests(spread.Spread):
+    """Carries the digest of the configuration in heartbeats.
+
+    Attributes:
+        follower: Gives and takes digests; None until it exists.
+    """
+
+    name = "c"
+
+    def __init__(self) -> None:
+        self.follower: config_follower.ConfigFollower | None = None
+
+    def payload(self, now_ms: float) -> bytes:
+        """Returns the digest of this entry's configuration."""
+        return b"" if self.follower is None else self.follower.digest()
+
+    def receive(self, entry_id: str, payload: bytes, now_ms: float) -> bool:
+        """Notes the digest of another entry's configuration."""
+        if self.follower is not None:
+            self.follower.digest_seen(entry_id, payload)
+        return False
+
+
+def create_channel(
+    settings: model.Settings,
+    listener: socket.socket,
+    clock: clock_api.Clock,
+    rng: random.Random,
+) -> websocket.WebsocketChannel:
+    """Returns the channel to other entries.
+
+    Raises:
+        SettingsError: Keys or certificates are missing or wrong.
+    """
+    peer_tls = settings.tls.peer
+    credentials = websocket.Credentials(
+        settings.peers.keys,
+        tls.server_context(peer_tls, "tls.peer", require_client=True),
+        tls.client_context(peer_tls, "tls.peer"),
+    )
+    return websocket.WebsocketChannel(
+        settings.entry.entry_id,
+        listener,
+        CODEC,
+        credentials,
+        clock=clock,
+        rng=rng,
+    )
+
+
+def contacts(settings: model.Settings) -> dict[str, str]:
+    """Returns the peer addresses that the settings name, by entry id."""
+    pairs = (each.partition("=") for each in settings.peers.static)
+    return {entry_id: address for entry_id, _, address in pairs}
--- a/src/lovageyoke/entry/process.py
+++ b/src/lovageyoke/entry/process.py
@@ -12,15 +12,20 @@
 from lovageyoke.config import follower as config_follower
 from lovageyoke.config import store as config_store
 from lovageyoke.config import view as config_view
+from lovageyoke.entry import drains
 from lovageyoke.entry import keeper as keeper_lib
 from lovageyoke.entry import listeners as listeners_lib
 from lovageyoke.entry import metrics as entry_metrics
+from lovageyoke.entry import peers
 from lovageyoke.entry import probe as entry_probe
 from lovageyoke.entry import services
 from lovageyoke.entry import status
-from lovageyoke.idempotency import key_per_claim
-from lovageyoke.membership import api as membership_api
-from lovageyoke.membership import static
+from lovageyoke.idempotency import service as claim_service
+from lovageyoke.idempotency import shards as claim_shards
+from lovageyoke.membership import drains as drains_lib
+from lovageyoke.membership import incarnation
+from lovageyoke.membership import messages
+from lovageyoke.membership import task
 from lovageyoke.observe import metrics
 from lovageyoke.operator import access
 from lovageyoke.operator import app as operator_app
@@ -33,6 +38,7 @@
 from lovageyoke.transport import pool
 
 MS_PER_SECOND = 1_000
+STOP_MARGIN_MS = 1_000
 
 
 class EntryProcess:
@@ -59,30 +65,53 @@
         self.clock = clock
         self.listeners = listeners_lib.bind(settings.listen)
         self.addresses = self.listeners.addresses()
-        self.view = config_view.ConfigView()
-        self.store = config_store.ConfigStore(platform, clock, rng)
-        self.membership = static.StaticMembership(
-            settings.entry.entry_id, (self._own_member(),)
+        self.channel = peers.create_channel(
+            settings, self.listeners.peer, clock, rng
         )
-        self.follower = config_follower.ConfigFollower(
+        self._digests = peers.ConfigDigests()
+        self._drains = drains_lib.Drains()
+        self.membership = task.MembershipTask(
+            self._own_record(rng),
+            self.channel,
             platform,
-            self.view,
-            membership=self.membership,
+            links=task.Links(self.channel.set_address, self.channel.remove),
             clock=clock,
-            generator=rng,
-            calls_per_s=settings.platform.calls_per_s,
+            rng=rng,
+            spreads=(self._digests, self._drains),
+            contacts=peers.contacts(settings),
+        )
+        self.view = config_view.ConfigView()
+        self.store = config_store.ConfigStore(platform, clock, rng)
+        self.follower = self._create_follower(platform, rng)
+        self._digests.follower = self.follower
+        self.claims = claim_service.create(
+            platform,
+            self.membership.view,
+            self.channel,
+            clock,
+            rng=rng,
+            options=claim_shards.Options(
+                writes_per_s=settings.platform.claim_writes_per_s
+            ),
         )
         self.transport = pool.PooledTransport(clock)
-        self.claims = key_per_claim.KeyPerClaimLog(platform, clock)
         self.app = caller_app.create(
             services.Directory(self.view),
             services.Policies(settings.entry.failure_domain, rng).create,
             self.transport,
             self.claims,
             clock,
+            on_drain=self._drain_seen,
+        )
+        self.drains = drains.DrainKeeper(
+            self._drains,
+            self.app.routes,
+            self.membership.state.members.listing,
+            self.membership.announce,
+            clock,
         )
         probe = entry_probe.UpstreamProbe(self.transport, clock)
-        self.prober = prober_lib.Prober(probe, self.membership, clock)
+        self.prober = prober_lib.Prober(probe, self.membership.view, clock)
         self.keeper = keeper_lib.ServiceKeeper(
             self.view, self.app.routes, self.prober, probe
         )
@@ -107,33 +136,72 @@
         await self.supervisor.stop()
 
     def _children(self) -> tuple[child.Child, ...]:
+        never = child.Restart.NEVER
         return (
+            child.Child("peers", self.channel.run),
+            child.Child(
+                "membership",
+                self.membership.run,
+                stop=self.membership.stop,
+                restart=never,
+            ),
             child.Child("configuration", self.follower.run),
+            child.Child("claims", self.claims.run),
             child.Child("transport", self.transport.run),
             child.Child("services", self.keeper.run),
+            child.Child("drains", self.drains.run),
             child.Child("prober", self.prober.run),
             child.Child(
                 "operators",
                 self._serve_operators,
                 stop=_setter(self._stop_operators),
-                restart=child.Restart.NEVER,
+                restart=never,
             ),
             child.Child(
                 "callers",
                 self._serve_callers,
-                stop=_setter(self._stop_callers),
-                restart=child.Restart.NEVER,
-                stop_timeout_ms=self.settings.limits.shutdown_ms,
+                stop=self._leave,
+                restart=never,
+                stop_timeout_ms=self._leave_ms() + STOP_MARGIN_MS,
             ),
         )
 
-    def _own_member(self) -> membership_api.Member:
-        return membership_api.Member(
-            self.settings.entry.entry_id,
-            self.clock.wall_ms(),
-            self.addresses.caller,
-            self.addresses.peer,
-            self.settings.entry.failure_domain,
+    def _leave_ms(self) -> int:
+        limits = self.settings.limits
+        return limits.address_lifetime_ms + limits.shutdown_ms
+
+    async def _leave(self) -> None:
+        """Withdraws the addresses, serves for their lifetime, then stops."""
+        self.membership.leave()
+        await self.clock.sleep_ms(self.settings.limits.address_lifetime_ms)
+        self._stop_callers.set()
+
+    def _drain_seen(self, service: str, upstream_id: str) -> None:
+        self.drains.seen(service, upstream_id)
+
+    def _own_record(self, rng: random.Random) -> messages.MemberRecord:
+        entry = self.settings.entry
+        addresses = self.settings.advertise or self.addresses
+        return messages.MemberRecord(
+            entry.entry_id,
+            incarnation.first_incarnation(self.clock, rng),
+            caller_address=addresses.caller,
+            peer_address=addresses.peer,
+            failure_domain=entry.failure_domain,
+            region=entry.region,
+        )
+
+    def _create_follower(
+        self, platform: platform_api.Platform, rng: random.Random
+    ) -> config_follower.ConfigFollower:
+        return config_follower.ConfigFollower(
+            platform,
+            self.view,
+            membership=self.membership.view,
+            clock=self.clock,
+            generator=rng,
+            channel=self.channel,
+            calls_per_s=self.settings.platform.calls_per_s,
         )
 
     def _create_operator_app(self) -> hosting.App:
@@ -144,7 +212,7 @@
             self.view,
             access.Authenticator(self.settings.operators, self.clock),
             status.EntryStatusProvider(
-                self.settings, self.follower, self.membership
+                self.settings, self.follower, self.membership.view
             ),
             self.follower.learned,
             extra_routes=(entry_metrics.route(registry),),
--- a/src/lovageyoke/settings/load.py
+++ b/src/lovageyoke/settings/load.py
@@ -51,6 +51,8 @@
 
 def _contradictions(settings: model.Settings) -> Iterator[str]:
     yield from _repeated_operators(settings)
+    if not settings.peers.keys:
+        yield "peers.keys: at least one key is needed"
     for name in ("caller", "operator", "peer"):
         tls: model.Tls = getattr(settings.tls, name)
         if bool(tls.certificate) != bool(tls.key):
--- a/src/lovageyoke/settings/model.py
+++ b/src/lovageyoke/settings/model.py
@@ -13,7 +13,7 @@
 DEFAULT_MAX_CALLER_CONNECTIONS = 4_096
 DEFAULT_MAX_IN_FLIGHT = 1_024
 DEFAULT_SHUTDOWN_MS = 600_000
-DEFAULT_CLAIM_WRITES_PER_S = 12.0
+DEFAULT_CLAIM_WRITES_PER_S = 160.0
 DEFAULT_PLATFORM_CALLS_PER_S = 60.0
 MAX_TIMEOUT_MS = 60_000
 MAX_CALLS_PER_S = 10_000
@@ -120,7 +120,8 @@
         url: Base address, ``http://IP:PORT``.
         timeout_ms: Time that one call may take.
         calls_per_s: Calls a second that this process may make.
-        claim_writes_per_s: Writes a second for the at-most-once log.
+        claim_writes_per_s: Writes a second that all entry VMs together may
+            make for the at-most-once log; all must agree.
     """
 
     url: str = checks.checked(checks.HttpUrl())
--- a/tests/cli/test_binary.py
+++ b/tests/cli/test_binary.py
@@ -22,6 +22,9 @@
 
 [platform]
 url = "http://127.0.0.1:9000"
+
+[peers]
+keys = ["0123456789abcdef"]
 """
 
 
--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -18,6 +18,9 @@
 
 [platform]
 url = "http://127.0.0.1:9000"
+
+[peers]
+keys = ["0123456789abcdef"]
 """
 SECRET = "short-secret"
 MALFORMED = {
@@ -87,8 +90,7 @@
 def test_secrets_are_never_shown(tmp_path):
     path = tmp_path / "settings.toml"
     path.write_text(
-        GOOD
-        + f"[peers]\nkeys = ['{SECRET}']\n"
+        GOOD.replace("0123456789abcdef", SECRET)
         + f"[[operators]]\nname = 'a'\ntoken_sha256 = '{SECRET}'\n"
     )
     text = str(_refused(path))
