Drop probes that start late, and shield the server library from cancellation

Cause: in the demonstration 14 probes were sent in a second of 12 allowed: the budget counts a probe when it is decided, and a loaded event loop sent it more than the 10 ms guard later. Ruled out: shares of joining entries. Change: the guard is 50 ms and a probe that would start later is dropped.

--- a/src/lovageyoke/demo/promises.py
+++ b/src/lovageyoke/demo/promises.py
@@ -37,7 +37,7 @@
     Attributes:
         record: What the callers saw.
         runs: How often each booking ran.
-        probe_times_ms: When probes were answered, by service.
+        probe_times_ms: When probes were sent, by service.
         probes_per_s: Probe budget of each service.
         drained_served: Requests that the drained upstream had accepted when
             the drain had been known for its longest time, and at the end.
--- a/src/lovageyoke/demo/run.py
+++ b/src/lovageyoke/demo/run.py
@@ -138,8 +138,7 @@
             record=self.callers.record,
             runs=groups["booking"].ledger.runs,
             probe_times_ms={
-                name: group.ledger.probe_times_ms
-                for name, group in groups.items()
+                name: self.scene.probe_times_of(name) for name in groups
             },
             probes_per_s=intents.PROBES_PER_S,
             drained_served=self.drained_served,
--- a/src/lovageyoke/demo/scene.py
+++ b/src/lovageyoke/demo/scene.py
@@ -18,10 +18,13 @@
 from lovageyoke.platform import http as platform_http
 from lovageyoke.platform import rates
 from lovageyoke.platform import store
+from lovageyoke.probing import api as probing_api
+from lovageyoke.routing import api as routing_api
 from lovageyoke.serving import hosting
 from lovageyoke.settings import load
 from lovageyoke.standin import platform as standin_platform
 from lovageyoke.standin import upstream as standin_upstream
+from lovageyoke.transport import api as transport_api
 
 ENTRIES = 3
 LOOPBACK = "127.0.0.1"
@@ -44,6 +47,32 @@
     places: list[intents.Place]
 
 
+class RecordingProbe(probing_api.Probe):
+    """Records when each probe is sent.
+
+    Attributes:
+        times_ms: When probes were sent, by upstream id.
+    """
+
+    def __init__(
+        self,
+        probe: probing_api.Probe,
+        clock: clock_api.Clock,
+        times_ms: dict[str, list[float]],
+    ) -> None:
+        self.times_ms = times_ms
+        self._probe = probe
+        self._clock = clock
+
+    async def probe(
+        self, target: transport_api.Target
+    ) -> routing_api.LoadReport | None:
+        """Passes the probe on."""
+        times_ms = self.times_ms.setdefault(target.upstream_id, [])
+        times_ms.append(self._clock.now_ms())
+        return await self._probe.probe(target)
+
+
 @attrs.define
 class Scene:
     """Everything that runs.
@@ -52,11 +81,21 @@
         clock: Source of time.
         entries: The entry processes.
         groups: The stand-in upstreams by service.
+        probe_times_ms: When probes were sent, by upstream id.
     """
 
     clock: clock_api.Clock
     entries: list[process.EntryProcess]
     groups: dict[str, Group]
+    probe_times_ms: dict[str, list[float]]
+
+    def probe_times_of(self, service: str) -> list[float]:
+        """Returns when all entries sent probes for a service, in order."""
+        return sorted(
+            time_ms
+            for place in self.groups[service].places
+            for time_ms in self.probe_times_ms.get(place.upstream_id, ())
+        )
 
 
 @contextlib.asynccontextmanager
@@ -85,7 +124,12 @@
             )
             for index in range(ENTRIES)
         ]
-        yield Scene(clock, entries, groups)
+        probe_times_ms: dict[str, list[float]] = {}
+        for entry in entries:
+            entry.prober.probe = RecordingProbe(
+                entry.prober.probe, clock, probe_times_ms
+            )
+        yield Scene(clock, entries, groups, probe_times_ms)
 
 
 def _platform(
--- a/src/lovageyoke/probing/counters.py
+++ b/src/lovageyoke/probing/counters.py
@@ -14,6 +14,7 @@
         answered: Probes that brought a report.
         failed: Probes that brought none.
         timed_out: Probes that were cancelled.
+        dropped: Probes that were not sent because the process was late.
         rights: Probes that this entry may send in one window at present.
         busy_ms: Time spent waiting for answers, summed over the probes.
     """
@@ -22,5 +23,6 @@
     answered: int = 0
     failed: int = 0
     timed_out: int = 0
+    dropped: int = 0
     rights: int = 0
     busy_ms: float = 0.0
--- a/src/lovageyoke/probing/fleet.py
+++ b/src/lovageyoke/probing/fleet.py
@@ -6,7 +6,7 @@
 from lovageyoke.membership import rendezvous
 
 WINDOW_MS = 1_000.0
-GUARD_MS = 10.0
+GUARD_MS = 50.0
 SETTLE_MS = 10_000.0
 MAX_GAP_MS = 500.0
 
--- a/src/lovageyoke/probing/prober.py
+++ b/src/lovageyoke/probing/prober.py
@@ -137,6 +137,9 @@
     async def _run_probe(
         self, service: ProbedService, upstream_id: str
     ) -> None:
+        if service.scheduler.is_late(upstream_id, self.clock.now_ms()):
+            service.scheduler.drop(upstream_id)
+            return
         report = None
         timed_out = False
         target = service.targets.get(upstream_id)
--- a/src/lovageyoke/probing/scheduler.py
+++ b/src/lovageyoke/probing/scheduler.py
@@ -4,6 +4,7 @@
 
 from lovageyoke.probing import budget as probe_budget
 from lovageyoke.probing import counters as probe_counters
+from lovageyoke.probing import fleet
 from lovageyoke.probing import presets
 from lovageyoke.routing import api
 
@@ -60,6 +61,19 @@
         pause_ms = min(IDLE_RECHECK_MS, self.plan.useful_ms / 4.0)
         return max(allowed_ms, now_ms + pause_ms)
 
+    def is_late(self, upstream_id: str, now_ms: float) -> bool:
+        """Returns whether it is too late to send a probe that is pending.
+
+        The budget's windows allow for a send that follows its decision by
+        no more than the guard.
+        """
+        return now_ms - self.pending[upstream_id] > fleet.GUARD_MS
+
+    def drop(self, upstream_id: str) -> None:
+        """Gives up a pending probe that was not sent."""
+        del self.pending[upstream_id]
+        self.counters.dropped += 1
+
     def finish(
         self,
         upstream_id: str,
--- a/src/lovageyoke/serving/hosting.py
+++ b/src/lovageyoke/serving/hosting.py
@@ -102,9 +102,25 @@
     config.errorlog = logging.getLogger("lovageyoke.serving")
     config.include_server_header = False
     framework = cast(hypercorn_types.ASGIFramework, app)
-    await hypercorn_asyncio.serve(
-        framework, config, shutdown_trigger=shutdown.wait
-    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_shut_down_when_cancelled, shutdown, config)
+        # The library can't be cancelled while it waits for its connections.
+        with anyio.CancelScope(shield=True):
+            await hypercorn_asyncio.serve(
+                framework, config, shutdown_trigger=shutdown.wait
+            )
+        tasks.cancel_scope.cancel()
+
+
+async def _shut_down_when_cancelled(
+    shutdown: anyio.Event, config: hypercorn_config.Config
+) -> None:
+    try:
+        await shutdown.wait()
+    except BaseException:
+        config.graceful_timeout = 0.0
+        shutdown.set()
+        raise
 
 
 @contextlib.asynccontextmanager
--- a/src/lovageyoke/standin/upstream.py
+++ b/src/lovageyoke/standin/upstream.py
@@ -51,12 +51,10 @@
     Attributes:
         runs: Number of runs of each booking identity.
         served: Number of requests accepted by each upstream.
-        probe_times_ms: When each probe was answered, in order.
     """
 
     runs: dict[str, int] = attrs.field(factory=dict)
     served: dict[str, int] = attrs.field(factory=dict)
-    probe_times_ms: list[float] = attrs.field(factory=list)
 
     def count_run(self, identity: str) -> None:
         """Records that a booking was executed."""
@@ -124,7 +122,6 @@
         )
 
     async def _load(self, request: requests.Request) -> responses.Response:
-        self.ledger.probe_times_ms.append(self.clock.now_ms())
         return responses.Response(headers={LOAD_HEADER: self.load_header()})
 
     async def _control(self, request: requests.Request) -> responses.Response:
--- a/tests/probing/test_prober.py
+++ b/tests/probing/test_prober.py
@@ -12,6 +12,7 @@
 from lovageyoke.membership import api as membership_api
 from lovageyoke.membership import static
 from lovageyoke.probing import api
+from lovageyoke.probing import fleet
 from lovageyoke.probing import presets
 from lovageyoke.probing import prober
 from lovageyoke.routing import api as routing_api
@@ -112,3 +113,18 @@
     counters = service.scheduler.counters
     assert counters.failed == counters.sent > 0
     assert service.scheduler.pending == {}
+
+
+async def test_probe_that_starts_late_is_not_sent(
+    service_prober, clock, probe, policy, anyio_backend
+):
+    service = add(service_prober, policy)
+    for _ in range(100):
+        clock.advance(prober.TICK_MS)
+        service_prober.share.update(service_prober.view, clock.now_ms())
+    async with anyio.create_task_group() as tasks:
+        service_prober.start_due(tasks, clock.now_ms())
+        clock.advance(fleet.GUARD_MS + 1)
+    assert probe.asked == []
+    assert service.scheduler.counters.dropped == 1
+    assert not service.scheduler.pending
