Compress the groups' documents

Decoding is bounded at 16 MB. The bench's services were too alike and are random now. Fuzzing covers documents, segments and plan files; a checksum finds every damaged byte.

--- a/src/lovageyoke/bench/config_slopes.py
+++ b/src/lovageyoke/bench/config_slopes.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 import gc
+import ipaddress
+import random
 import time
 import tracemalloc
 
@@ -21,7 +23,8 @@
 from lovageyoke.peer import codec
 
 NANOSECONDS_PER_US = 1_000
-BASE_PORT = 8_000
+TEAMS = 200
+FAILURE_DOMAINS = 31
 REPEATS = 5
 
 
@@ -31,7 +34,7 @@
 
     Attributes:
         document_bytes: Platform value, for each service.
-        record_bytes: Audit record in the platform value, for each change.
+        record_bytes: Audit record before compression, for each change.
         push_bytes: Message to a peer, for each change.
         encode_us: Encoding a platform value, for each service.
         decode_us: Decoding a platform value, for each service.
@@ -55,21 +58,29 @@
 def service(
     number: int, upstreams: int, round_number: int = 0
 ) -> model.Service:
-    """Returns a service with an at-most-once rule."""
+    """Returns a service with random upstreams and an at-most-once rule."""
+    generator = random.Random(f"{number}/{round_number}")  # noqa: S311
     return model.Service(
         name=f"service-{number}",
-        team="bench",
-        hosts=(f"round-{round_number}.service-{number}.example",),
+        team=f"team-{generator.randrange(TEAMS)}",
+        hosts=(f"{generator.getrandbits(48):x}.example",),
         upstreams=tuple(
-            model.Upstream(
-                f"upstream-{index}", "127.0.0.1", BASE_PORT + index, "domain-1"
-            )
-            for index in range(upstreams)
+            _upstream(generator, index) for index in range(upstreams)
         ),
         unrepeatable=(model.UnrepeatableRule(("POST",), "/bookings"),),
     )
 
 
+def _upstream(generator: random.Random, index: int) -> model.Upstream:
+    address = ipaddress.IPv4Address(generator.getrandbits(32))
+    return model.Upstream(
+        f"{index}-{generator.getrandbits(32):x}",
+        str(address),
+        generator.randrange(1, model.MAX_PORT),
+        f"domain-{generator.randrange(FAILURE_DOMAINS)}",
+    )
+
+
 def measure(services: int, upstreams: int) -> Slopes:
     """Returns the slopes at a number of services.
 
@@ -80,7 +91,7 @@
     current = _document(services, upstreams)
     value = document.encode(current)
     changed, plan_us = _change(current, upstreams)
-    grown = len(document.encode(changed)) - len(value)
+    record = document.CONVERTER.dumps(changed.records[-1])
     push = spread.ConfigPush(
         "entry-1", updates.from_document(0, changed, current.sequence)
     )
@@ -88,7 +99,7 @@
     message = peer_codec.encode(push)
     return Slopes(
         document_bytes=len(value) / services,
-        record_bytes=grown - _previous_bytes(upstreams),
+        record_bytes=len(record),
         push_bytes=len(message),
         encode_us=_best_us(lambda: document.encode(current)) / services,
         decode_us=_best_us(lambda: document.decode_document(value)) / services,
@@ -123,11 +134,6 @@
     return apply(), _best_us(apply)
 
 
-def _previous_bytes(upstreams: int) -> int:
-    encoded = document.CONVERTER.dumps(service(0, upstreams))
-    return len(encoded)
-
-
 def _apply(current: document.Document) -> view.ConfigView:
     in_force = view.ConfigView()
     in_force.apply(updates.from_document(0, current))
--- a/src/lovageyoke/config/document.py
+++ b/src/lovageyoke/config/document.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 import enum
 from typing import TypeVar
+import zlib
 
 import attrs
 import cattrs
@@ -12,8 +13,11 @@
 
 from lovageyoke.config import model
 from lovageyoke.errors import exceptions
+from lovageyoke.platform import api
 
 FORMAT = 1
+COMPRESSION_LEVEL = 1
+MAX_DECODED_BYTES = 16_000_000
 
 Decoded = TypeVar("Decoded")
 
@@ -125,8 +129,17 @@
 
 
 def encode(value: Document | Segment) -> bytes:
-    """Returns a document or segment as CBOR."""
-    return CONVERTER.dumps(value)
+    """Returns a document or segment as compressed CBOR.
+
+    Raises:
+        IntentError: It is too large to be decoded again.
+    """
+    plain = CONVERTER.dumps(value)
+    compressed = zlib.compress(plain, COMPRESSION_LEVEL)
+    if len(plain) > MAX_DECODED_BYTES or len(compressed) > api.MAX_VALUE_BYTES:
+        problem = "the services that share the service's group are too large"
+        raise exceptions.IntentError((problem,))
+    return compressed
 
 
 def decode_document(data: bytes) -> Document:
@@ -156,15 +169,27 @@
 
 def _decode(data: bytes, data_type: type[Decoded]) -> Decoded:
     try:
-        return CONVERTER.loads(data, data_type)
+        return CONVERTER.loads(_decompress(data), data_type)
     except cattrs.BaseValidationError as error:
         lines = "; ".join(cattrs.transform_error(error))
         raise exceptions.DecodeError(f"bad document: {lines}") from error
+    except exceptions.DecodeError:
+        raise
     except Exception as error:
         # The CBOR library raises many types on hostile bytes.
         raise exceptions.DecodeError(f"bad CBOR: {error}") from error
 
 
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    decoded = decompressor.decompress(data, MAX_DECODED_BYTES)
+    if not decompressor.eof:
+        raise exceptions.DecodeError(
+            f"truncated, or more than {MAX_DECODED_BYTES} bytes"
+        )
+    return decoded
+
+
 def _require_format(found: int) -> None:
     if found != FORMAT:
         raise exceptions.DecodeError(
--- a/src/lovageyoke/config/store.py
+++ b/src/lovageyoke/config/store.py
@@ -261,9 +261,6 @@
 
     async def _swap(self, value: bytes, revision: int) -> int:
         key = groups.document_key(self.group)
-        if len(value) > api.MAX_VALUE_BYTES:
-            problem = f"{self.plan.name}: the service's group is full"
-            raise exceptions.IntentError((problem,))
         try:
             if revision == 0:
                 record = await self.platform.create(key, value)
--- /dev/null
+++ b/tests/config/test_document.py
@@ -0,0 +1,78 @@
+"""Tests of the platform's values."""
+
+from __future__ import annotations
+
+import zlib
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from lovageyoke.config import document
+from lovageyoke.config import model
+from lovageyoke.config import plan
+from lovageyoke.errors import exceptions
+
+SERVICE = model.Service("a", "t", ("a.example",))
+DOCUMENT = document.Document(
+    3, {"a": document.Entry(2, 3, SERVICE), "b": document.Entry(1, 1, None)}
+)
+JUNK = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text() | st.binary(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["sequence", "entries", "records", "format", "x"]),
+            inner,
+            max_size=4,
+        )
+    ),
+)
+
+
+def test_documents_survive_a_round_trip():
+    value = document.encode(DOCUMENT)
+    assertions.assert_that(
+        document.decode_document(value), matchers.Equals(DOCUMENT)
+    )
+
+
+@pytest.mark.parametrize(
+    "decode", [document.decode_document, document.decode_segment]
+)
+@given(data=st.binary() | JUNK.map(document.CONVERTER.dumps))
+def test_junk_raises_only_decode_errors(decode, data):
+    for value in (data, zlib.compress(data)):
+        try:
+            decode(value)
+        except exceptions.DecodeError:
+            continue
+
+
+@given(st.data())
+def test_damaged_documents_raise_only_decode_errors(data):
+    value = bytearray(document.encode(DOCUMENT))
+    index = data.draw(st.integers(0, len(value) - 1))
+    value[index] ^= data.draw(st.integers(1, 255))
+    with pytest.raises(exceptions.DecodeError):
+        document.decode_document(bytes(value))
+
+
+def test_expanding_values_are_refused_within_bounds():
+    bomb = zlib.compress(bytes(document.MAX_DECODED_BYTES + 1))
+    with pytest.raises(exceptions.DecodeError):
+        document.decode_document(bomb)
+
+
+def test_unknown_format_is_refused():
+    future = document.Document(format=document.FORMAT + 1)
+    with pytest.raises(exceptions.DecodeError):
+        document.decode_document(document.encode(future))
+
+
+@given(st.binary() | st.text().map(str.encode))
+def test_arbitrary_plan_files_raise_only_intent_errors(data):
+    with pytest.raises(exceptions.IntentError):
+        plan.decode(data)
