Race operators under faults and check every write

Three operators and four followers run in virtual time under outage, slowness, lost requests and answers, writes that take effect up to 1.5 s after their outcome was reported unknown, dead watches, message loss and reordering, and replaced entries. Each write of a document is checked inside the stand-in: one service and one version on, its audit record present, archived records in their segment first; at the end the whole trail, what operators were told, and every view.

--- a/src/lovageyoke/bench/config_fleet.py
+++ b/src/lovageyoke/bench/config_fleet.py
@@ -18,7 +18,6 @@
 from lovageyoke.peer import fake as fake_peer
 from lovageyoke.platform import fake as fake_platform
 from lovageyoke.platform import faults
-from lovageyoke.platform import rates
 from lovageyoke.platform import store as platform_store
 
 FAILURE_DOMAINS = 3
@@ -73,9 +72,18 @@
         network: The network between entries.
     """
 
-    def __init__(self, size: int, clock: clock_api.Clock, seed: int) -> None:
-        self.state = platform_store.PlatformStore(rates.CallCounter())
+    def __init__(
+        self,
+        size: int,
+        clock: clock_api.Clock,
+        seed: int,
+        *,
+        state: platform_store.PlatformStore | None = None,
+        client_type: type[fake_platform.FakePlatform] | None = None,
+    ) -> None:
+        self.state = state or platform_store.PlatformStore()
         self.clock = clock
+        self._client_type = client_type or fake_platform.FakePlatform
         self._random = random.Random(seed)  # noqa: S311
         conditions = fake_peer.Conditions(
             min_delay_ms=PEER_MIN_DELAY_MS, max_delay_ms=PEER_MAX_DELAY_MS
@@ -128,7 +136,7 @@
             faults.Faults(latency_ms=PLATFORM_LATENCY_MS),
             seed=self._random.randrange(2**32),
         )
-        client = fake_platform.FakePlatform(self.state, self.clock, injector)
+        client = self._client_type(self.state, self.clock, injector)
         membership = static.StaticMembership(entry_id, self.members)
         channel = self.network.channel(entry_id)
         in_force = view.ConfigView()
--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -14,6 +14,7 @@
 from lovageyoke.cli import services
 from lovageyoke.cli import settings_check
 from lovageyoke.cli import soak
+from lovageyoke.cli import soak_config
 from lovageyoke.cli import standin_platform
 from lovageyoke.cli import standin_upstream
 from lovageyoke.cli import status
@@ -30,6 +31,7 @@
     services,
     settings_check,
     soak,
+    soak_config,
     standin_platform,
     standin_upstream,
     status,
