--- a/src/lovageyoke/idempotency/open_log.py
+++ b/src/lovageyoke/idempotency/open_log.py
@@ -13,7 +13,7 @@
 from lovageyoke.idempotency import log_state
 from lovageyoke.idempotency import records
 
-MIN_DELTAS_BEFORE_MERGE = 8
+MERGED_RUNS = 8
 CHECKPOINT_SEGMENTS = records.RING_SLOTS // 2
 
 
@@ -24,6 +24,7 @@
     Attributes:
         shard: The shard.
         store: Access to the platform.
+        snapshot_store: The same with the budget of snapshots.
         state: Identities as of the last segment.
         head: The head as last written.
         head_token: Token of that write.
@@ -33,6 +34,7 @@
 
     shard: int
     store: fenced.FencedStore
+    snapshot_store: fenced.FencedStore
     state: log_state.ShardState
     head: records.Head
     head_token: bytes
@@ -72,26 +74,53 @@
         covered = self.state.applied
         log_time_ms = self.state.log_time_ms
         changed = self.state.take_changed()
-        merge_at = max(MIN_DELTAS_BEFORE_MERGE, 2 * len(self.head.base))
-        if len(self.head.deltas) >= merge_at:
-            base = await self._write_runs(list(self.state.records.values()))
-            deltas: tuple[records.RunRef, ...] = ()
-        else:
-            base = self.head.base
-            deltas = self.head.deltas + await self._write_runs(changed)
+        kept = tuple(
+            ref for ref in self.head.runs if ref.expires_ms > log_time_ms
+        )
+        added = await self._write_runs(changed, 0)
         await self._write_head(
             attrs.evolve(
                 self.head,
                 covered=covered,
                 log_time_ms=log_time_ms,
-                base=base,
-                deltas=deltas,
+                runs=kept + added,
+            )
+        )
+
+    async def merge(self) -> None:
+        """Merges the newest runs when enough of them have one tier.
+
+        Raises:
+            FencedError: Another owner has taken over.
+        """
+        runs = self.head.runs
+        merged = runs[-MERGED_RUNS:]
+        tiers = {ref.tier for ref in merged}
+        tier = merged[-1].tier if merged else records.TOP_TIER
+        if len(merged) < MERGED_RUNS or len(tiers) > 1:
+            return
+        if tier >= records.TOP_TIER:
+            return
+        identities: dict[records.Key, records.IdentityRecord] = {}
+        for ref in merged:
+            run = await read_run(self, ref)
+            identities.update(
+                ((each.scope, each.identity), each) for each in run.records
             )
+        added = await self._write_runs(
+            [
+                each
+                for each in identities.values()
+                if each.expires_ms > self.head.log_time_ms
+            ],
+            tier + 1,
         )
+        kept = runs[:-MERGED_RUNS]
+        await self._write_head(attrs.evolve(self.head, runs=kept + added))
 
     async def _write_head(self, head: records.Head) -> None:
-        token = self.store.new_token()
-        self.head_revision = await self.store.write(
+        token = self.snapshot_store.new_token()
+        self.head_revision = await self.snapshot_store.write(
             records.head_key(self.shard),
             records.encode(token, head),
             self.head_revision,
@@ -100,52 +129,63 @@
         self.head_token = token
 
     async def _write_runs(
-        self, identities: list[records.IdentityRecord]
+        self, identities: list[records.IdentityRecord], tier: int
     ) -> tuple[records.RunRef, ...]:
-        used = {ref.slot for ref in self.head.base + self.head.deltas}
+        used = {ref.slot for ref in self.head.runs}
         free = (slot for slot in range(records.RUN_SLOTS) if slot not in used)
         refs = []
         for chunk in _chunks(identities):
             slot = next(free, None)
             if slot is None:
                 raise exceptions.ClaimError("the snapshot has no free slot")
-            refs.append(await self._write_run(slot, records.Run(chunk)))
+            token = await self._write_run(slot, records.Run(chunk))
+            size_bytes = sum(records.record_bytes(each) for each in chunk)
+            if size_bytes > records.MAX_RUN_BYTES // 2:
+                tier = records.TOP_TIER
+            expires_ms = max(each.expires_ms for each in chunk)
+            refs.append(records.RunRef(slot, token, tier, expires_ms))
         return tuple(refs)
 
-    async def _write_run(self, slot: int, run: records.Run) -> records.RunRef:
+    async def _write_run(self, slot: int, run: records.Run) -> bytes:
         """Writes a run slot that the head doesn't refer to.
 
         The head is read after the slot, so a revision that is written over
         is never one of a later owner's.
         """
         key = records.run_key(self.shard, slot)
-        token = self.store.new_token()
+        token = self.snapshot_store.new_token()
         value = records.encode(token, run)
         while True:
-            previous = await self.store.read(key)
+            previous = await self.snapshot_store.read(key)
             await self._check_head()
             revision = previous.revision if previous else 0
             await self._wait_for_budget()
             try:
-                await self.store.write(key, value, revision)
+                await self.snapshot_store.write(key, value, revision)
             except fenced.FencedError:
                 continue
-            return records.RunRef(slot, token)
+            return token
 
     async def _check_head(self) -> None:
-        record = await self.store.read(records.head_key(self.shard))
+        record = await self.snapshot_store.read(records.head_key(self.shard))
         if record is None:
             raise fenced.FencedError(None)
         if records.token_of(record.value) != self.head_token:
             raise fenced.FencedError(record)
 
     async def _wait_for_budget(self) -> None:
-        now_ms = self.store.clock.now_ms()
-        await self.store.clock.sleep_ms(self.store.budget.delay_ms(now_ms))
+        now_ms = self.snapshot_store.clock.now_ms()
+        await self.snapshot_store.clock.sleep_ms(
+            self.snapshot_store.budget.delay_ms(now_ms)
+        )
 
 
 async def open_log(
-    shard: int, shard_count: int, entry_id: str, store: fenced.FencedStore
+    shard: int,
+    shard_count: int,
+    entry_id: str,
+    store: fenced.FencedStore,
+    snapshot_store: fenced.FencedStore,
 ) -> OpenLog:
     """Takes over a shard: fences earlier owners, then reads its state.
 
@@ -154,6 +194,7 @@
         ClaimError: The log was made with another number of shards.
     """
     log = await _fence_head(shard, shard_count, entry_id, store)
+    log.snapshot_store = snapshot_store
     await _load(log)
     while True:
         if not log.has_room():
@@ -173,6 +214,18 @@
             return log
 
 
+async def read_run(log: OpenLog, ref: records.RunRef) -> records.Run:
+    """Returns a run of the snapshot.
+
+    Raises:
+        FencedError: Another owner has replaced the snapshot.
+    """
+    found = await log.store.read(records.run_key(log.shard, ref.slot))
+    if found is None or records.token_of(found.value) != ref.token:
+        raise fenced.FencedError(found)
+    return records.decode(found.value, records.Run)
+
+
 async def _fence_head(
     shard: int, shard_count: int, entry_id: str, store: fenced.FencedStore
 ) -> OpenLog:
@@ -193,6 +246,7 @@
     return OpenLog(
         shard=shard,
         store=store,
+        snapshot_store=store,
         state=log_state.ShardState(),
         head=head,
         head_token=token,
@@ -202,15 +256,12 @@
 
 
 async def _load(log: OpenLog) -> None:
-    refs = log.head.base + log.head.deltas
+    refs = log.head.runs
     runs: dict[int, records.Run] = {}
     segments: dict[int, records.Segment] = {}
 
-    async def read_run(position: int, ref: records.RunRef) -> None:
-        found = await log.store.read(records.run_key(log.shard, ref.slot))
-        if found is None or records.token_of(found.value) != ref.token:
-            raise fenced.FencedError(found)
-        runs[position] = records.decode(found.value, records.Run)
+    async def load_run(position: int, ref: records.RunRef) -> None:
+        runs[position] = await read_run(log, ref)
 
     async def read_slot(slot: int) -> None:
         found = await log.store.read(records.segment_key(log.shard, slot))
@@ -222,7 +273,7 @@
 
     async with anyio.create_task_group() as tasks:
         for position, ref in enumerate(refs):
-            tasks.start_soon(read_run, position, ref)
+            tasks.start_soon(load_run, position, ref)
         for slot in range(records.RING_SLOTS):
             tasks.start_soon(read_slot, slot)
     log.state.load(log.head, (runs[each] for each in range(len(refs))))
--- a/src/lovageyoke/idempotency/owner.py
+++ b/src/lovageyoke/idempotency/owner.py
@@ -38,6 +38,7 @@
         shard_count: Number of shards of the log.
         entry_id: This entry's id.
         store: Access to the platform.
+        snapshot_store: The same with the budget of snapshots.
         clock: The clock.
         log: The open log, after the takeover.
         closed: Why it takes no more entries, or None.
@@ -51,11 +52,13 @@
         shard_count: int,
         entry_id: str,
         store: fenced.FencedStore,
+        snapshot_store: fenced.FencedStore,
     ) -> None:
         self.shard = shard
         self.shard_count = shard_count
         self.entry_id = entry_id
         self.store = store
+        self.snapshot_store = snapshot_store
         self.clock: clock_api.Clock = store.clock
         self.log: open_log.OpenLog | None = None
         self.closed: MovedError | None = None
@@ -72,7 +75,11 @@
         """Takes over the shard and serves it until it moves or stops."""
         try:
             self.log = await open_log.open_log(
-                self.shard, self.shard_count, self.entry_id, self.store
+                self.shard,
+                self.shard_count,
+                self.entry_id,
+                self.store,
+                self.snapshot_store,
             )
             self._log_time_base_ms = self.log.state.log_time_ms
             self._clock_base_ms = self.clock.now_ms()
@@ -238,6 +245,7 @@
             if log.needs_checkpoint():
                 await log.checkpoint()
                 self._notify()
+                await log.merge()
             else:
                 await changed.wait()
 
--- a/src/lovageyoke/idempotency/records.py
+++ b/src/lovageyoke/idempotency/records.py
@@ -13,8 +13,9 @@
 
 KEY_PREFIX = "claims/log"
 TOKEN_BYTES = 16
-RING_SLOTS = 32
-RUN_SLOTS = 160
+RING_SLOTS = 64
+RUN_SLOTS = 400
+TOP_TIER = 9
 MAX_BATCH_BYTES = 800_000
 MAX_RUN_BYTES = 500_000
 ENTRY_OVERHEAD_BYTES = 400
@@ -138,10 +139,15 @@
     Attributes:
         slot: The slot.
         token: Token of the write.
+        tier: How often its records were merged; those of the top tier stay
+            until they expire.
+        expires_ms: Log time after which none of its records is needed.
     """
 
     slot: int
     token: bytes
+    tier: int
+    expires_ms: int
 
 
 @attrs.frozen
@@ -154,8 +160,7 @@
         shard_count: Number of shards of the log; it never changes.
         covered: Number of the last segment that the snapshot includes.
         log_time_ms: Log time of that segment.
-        base: Runs of the last full snapshot.
-        deltas: Runs of identities changed since then, oldest first.
+        runs: Runs of the snapshot, oldest first.
     """
 
     epoch: int
@@ -163,8 +168,7 @@
     shard_count: int
     covered: int = 0
     log_time_ms: int = 0
-    base: tuple[RunRef, ...] = ()
-    deltas: tuple[RunRef, ...] = ()
+    runs: tuple[RunRef, ...] = ()
 
 
 def head_key(shard: int) -> str:
--- a/src/lovageyoke/idempotency/shards.py
+++ b/src/lovageyoke/idempotency/shards.py
@@ -22,6 +22,7 @@
 DEFAULT_SHARD_COUNT = 8
 DEFAULT_WRITES_PER_S = 160.0
 DEFAULT_BURST = 8.0
+SNAPSHOT_SHARE = 1 / 8
 TICK_MS = 100.0
 MIN_HOLD_MS = 500.0
 MAX_HOLD_MS = 1_500.0
@@ -93,12 +94,8 @@
         self.takeovers = 0
         self.moved = 0
         self._tasks: anyio.abc.TaskGroup | None = None
-        self._budgets = {
-            shard: budget.WriteBudget(
-                options.writes_per_s / options.shard_count, options.burst
-            )
-            for shard in range(options.shard_count)
-        }
+        self._budgets = self._make_budgets(1 - SNAPSHOT_SHARE)
+        self._snapshot_budgets = self._make_budgets(SNAPSHOT_SHARE)
 
     async def run(self) -> None:
         """Follows membership until it is cancelled."""
@@ -158,18 +155,35 @@
             return None
         if self.membership.owner(shard) != self.membership.self_id():
             return None
-        store = fenced.FencedStore(
-            self.platform, self.clock, self.rng, self._budgets[shard]
-        )
-        store.calls = self.calls.setdefault(shard, store.calls)
         owner = owner_lib.ShardOwner(
-            shard, self.options.shard_count, self.membership.self_id(), store
+            shard,
+            self.options.shard_count,
+            self.membership.self_id(),
+            self._store(shard, self._budgets),
+            self._store(shard, self._snapshot_budgets),
         )
         self.owners[shard] = owner
         self.takeovers += 1
         self._tasks.start_soon(self._run_owner, owner)
         return owner
 
+    def _make_budgets(self, share: float) -> dict[int, budget.WriteBudget]:
+        count = self.options.shard_count
+        rate_per_s = self.options.writes_per_s * share / count
+        return {
+            shard: budget.WriteBudget(rate_per_s, self.options.burst)
+            for shard in range(count)
+        }
+
+    def _store(
+        self, shard: int, budgets: dict[int, budget.WriteBudget]
+    ) -> fenced.FencedStore:
+        store = fenced.FencedStore(
+            self.platform, self.clock, self.rng, budgets[shard]
+        )
+        store.calls = self.calls.setdefault(shard, store.calls)
+        return store
+
     async def _run_owner(self, owner: owner_lib.ShardOwner) -> None:
         try:
             await owner.run()
