--- a/src/lovageyoke/cli/bench.py
+++ b/src/lovageyoke/cli/bench.py
@@ -1,4 +1,4 @@
-"""Group of the measuring commands."""
+"""The group of commands that measure."""
 
 from __future__ import annotations
 
@@ -6,5 +6,5 @@
 
 from lovageyoke.cli import app
 
-BENCH = typer.Typer(name="bench", help="Measure.", no_args_is_help=True)
-app.APP.add_typer(BENCH)
+BENCH = typer.Typer(help="Measure decisions and paths.", no_args_is_help=True)
+app.APP.add_typer(BENCH, name="bench")
