--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -7,6 +7,7 @@
 from lovageyoke.cli import addresses
 from lovageyoke.cli import app
 from lovageyoke.cli import audit
+from lovageyoke.cli import bench_claims
 from lovageyoke.cli import bench_policy
 from lovageyoke.cli import bench_probe_curve
 from lovageyoke.cli import confirm
@@ -26,6 +27,7 @@
 COMMANDS = (
     addresses,
     audit,
+    bench_claims,
     bench_policy,
     bench_probe_curve,
     confirm,
