Answer callers with entry addresses

Cause: callers ask which entries to use and keep the answer for a while, so an answer that changes with every report would move them all at once, and an entry that leaves must be gone from answers before it stops. Change: an AddressBook over a MembershipView gives up to eight addresses in the caller's region, fixed by rendezvous hashing and taken from the failure domains in turn. Leaving and suspected entries are dropped at once; overloaded ones lose weight by at most ten a second, and drop out while half of the others are well. Lifetimes differ by up to a tenth between callers. A leaving entry lingers for the lifetime and five seconds.

--- /dev/null
+++ b/src/lovageyoke/addresses/answer.py
@@ -0,0 +1,162 @@
+"""Chooses the entry addresses that a caller is told to use."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import itertools
+
+import attrs
+import orjson
+
+from lovageyoke.addresses import weights as weights_lib
+from lovageyoke.membership import api
+from lovageyoke.membership import rendezvous
+
+SUBSET_SIZE = 8
+MIN_NEAR = 3
+LIFETIME_SPREAD = 0.1
+LIFETIME_BUCKETS = 1_000
+SPREAD_MARGIN_MS = 5_000
+
+
+@attrs.frozen
+class EntryAddress:
+    """An address to use.
+
+    Attributes:
+        address: IP number and port for callers.
+        weight: Share of the caller's connections, relative to the others.
+        failure_domain: Where it is.
+    """
+
+    address: str
+    weight: int
+    failure_domain: str
+
+
+@attrs.frozen
+class AddressAnswer:
+    """What a caller is told.
+
+    Attributes:
+        addresses: Addresses to use, never empty.
+        lifetime_ms: How long the caller may keep the answer, in milliseconds.
+    """
+
+    addresses: tuple[EntryAddress, ...]
+    lifetime_ms: int
+
+    def to_json(self) -> bytes:
+        """Returns the answer as a JSON object."""
+        return orjson.dumps(attrs.asdict(self))
+
+
+@attrs.frozen
+class Asker:
+    """What is known of the caller that asks.
+
+    Attributes:
+        key: Something that stays the same for a caller, such as its IP
+            number.
+        region: The region that it says it is in; "" for the entry's own.
+    """
+
+    key: str
+    region: str = ""
+
+
+def linger_ms(lifetime_ms: int) -> int:
+    """Returns how long a leaving entry serves before it closes.
+
+    The last answers that name it were given just before the others learnt
+    that it leaves, and are kept for their whole lifetime.
+    """
+    return lifetime_ms + SPREAD_MARGIN_MS
+
+
+class AddressBook:
+    """Gives answers from a membership view.
+
+    An entry that leaves or is suspected is dropped at once. A caller's choice
+    of entries is fixed by rendezvous hashing over its failure domains, so it
+    changes only where an entry comes or goes, and each caller has entries in
+    several failure domains.
+
+    Attributes:
+        view: The membership.
+        lifetime_ms: Longest lifetime of an answer, in milliseconds.
+        weights: Weights of entries.
+    """
+
+    def __init__(self, view: api.MembershipView, lifetime_ms: int) -> None:
+        self.view = view
+        self.lifetime_ms = lifetime_ms
+        self.weights = weights_lib.Weights()
+
+    def answer(self, asker: Asker, now_ms: float) -> AddressAnswer:
+        """Returns the addresses that a caller is to use."""
+        members = self.view.members()
+        own_id = self.view.self_id()
+        own = next(each for each in members if each.entry_id == own_id)
+        usable = _usable(members) or [own]
+        self.weights.keep_only({each.entry_id for each in members})
+        near = _near(usable, asker.region or own.region)
+        relaxed = self._without_overloaded(near, now_ms)
+        chosen = _subset(asker.key, relaxed)
+        addresses = tuple(
+            EntryAddress(
+                each.caller_address,
+                self.weights.update(each.entry_id, each.load, now_ms),
+                each.failure_domain,
+            )
+            for each in chosen
+        )
+        return AddressAnswer(addresses, self._lifetime_ms(asker.key))
+
+    def _without_overloaded(
+        self, members: list[api.Member], now_ms: float
+    ) -> list[api.Member]:
+        relaxed = [
+            each
+            for each in members
+            if self.weights.update(each.entry_id, each.load, now_ms)
+            > weights_lib.MIN_WEIGHT
+        ]
+        return relaxed if len(relaxed) * 2 >= len(members) else members
+
+    def _lifetime_ms(self, key: str) -> int:
+        bucket = rendezvous.score("lifetime", key) % LIFETIME_BUCKETS
+        cut = LIFETIME_SPREAD * bucket / LIFETIME_BUCKETS
+        return int(self.lifetime_ms * (1 - cut))
+
+
+def _usable(members: Iterable[api.Member]) -> list[api.Member]:
+    """Returns alive members, or suspected ones, one for each address."""
+    for state in (api.MemberState.ALIVE, api.MemberState.SUSPECT):
+        latest: dict[str, api.Member] = {}
+        for each in members:
+            known = latest.get(each.caller_address)
+            if each.state is not state:
+                continue
+            if known is None or each.incarnation > known.incarnation:
+                latest[each.caller_address] = each
+        if latest:
+            return list(latest.values())
+    return []
+
+
+def _near(members: list[api.Member], region: str) -> list[api.Member]:
+    near = [each for each in members if each.region == region]
+    return near if len(near) >= MIN_NEAR else members
+
+
+def _subset(key: str, members: list[api.Member]) -> list[api.Member]:
+    by_id = {each.entry_id: each for each in members}
+    by_domain: dict[str, list[api.Member]] = {}
+    for entry_id in rendezvous.ranked(key, by_id):
+        member = by_id[entry_id]
+        by_domain.setdefault(member.failure_domain, []).append(member)
+    rounds = itertools.zip_longest(*by_domain.values())
+    in_turn = itertools.chain.from_iterable(rounds)
+    found = [each for each in in_turn if each is not None]
+    return found[:SUBSET_SIZE]
--- /dev/null
+++ b/src/lovageyoke/addresses/weights.py
@@ -0,0 +1,58 @@
+"""Weights of entries that follow their load in small steps."""
+
+from __future__ import annotations
+
+FULL_WEIGHT = 100
+MIN_WEIGHT = 10
+MAX_STEP = 10
+STEP_MS = 1_000.0
+EASY_LOAD_PERCENT = 50
+OVERLOAD_PERCENT = 95
+
+
+def target_weight(load: int) -> int:
+    """Returns the weight that a load in percent leads to in the end."""
+    if load <= EASY_LOAD_PERCENT:
+        return FULL_WEIGHT
+    over = min(load, OVERLOAD_PERCENT) - EASY_LOAD_PERCENT
+    span = OVERLOAD_PERCENT - EASY_LOAD_PERCENT
+    return FULL_WEIGHT - (FULL_WEIGHT - MIN_WEIGHT) * over // span
+
+
+class Weights:
+    """Moves each entry's weight towards its target, a step a second.
+
+    Callers keep answers for a while, so a weight that followed each report at
+    once would send them all away and all back again.
+
+    Attributes:
+        current: Weights by entry id.
+    """
+
+    def __init__(self) -> None:
+        self.current: dict[str, int] = {}
+        self._moved_ms: dict[str, float] = {}
+
+    def update(self, entry_id: str, load: int, now_ms: float) -> int:
+        """Takes in a load; returns the entry's weight."""
+        target = target_weight(load)
+        if entry_id not in self.current:
+            self.current[entry_id] = target
+            self._moved_ms[entry_id] = now_ms
+            return target
+        steps = int((now_ms - self._moved_ms[entry_id]) / STEP_MS)
+        if steps > 0:
+            self._move(entry_id, target, steps * MAX_STEP)
+            self._moved_ms[entry_id] += steps * STEP_MS
+        return self.current[entry_id]
+
+    def keep_only(self, entry_ids: set[str]) -> None:
+        """Forgets entries that are gone."""
+        for entry_id in set(self.current) - entry_ids:
+            del self.current[entry_id]
+            del self._moved_ms[entry_id]
+
+    def _move(self, entry_id: str, target: int, most: int) -> None:
+        weight = self.current[entry_id]
+        change = max(-most, min(most, target - weight))
+        self.current[entry_id] = weight + change
