Measure membership with lovageyoke bench membership

Cause: ten kilobytes a second, 2.7% of a core and 256 MB are what a node may spend on control, and detection times need figures. Change: a bench over the pure membership objects in virtual time: messages, bytes with an estimate of headers and acknowledgements, processor time with the codec, memory for each known member, detection, drain spread, and false suspicions under loss.

--- a/src/lovageyoke/bench/membership_fleet.py
+++ b/src/lovageyoke/bench/membership_fleet.py
@@ -53,7 +53,7 @@
         max_delay_ms: Greatest delay of a message.
         cuts: Pairs of source and target whose messages are lost.
         outage: Whether the platform's list can't be read.
-        count_bytes: Whether messages are encoded and their bytes counted.
+        count_bytes: Whether messages are encoded, counted and decoded.
     """
 
     loss: float = 0.0
@@ -238,5 +238,6 @@
         name = type(message).__name__
         self.sent[name] = self.sent.get(name, 0) + 1
         if self.conditions.count_bytes:
-            size = len(CODEC.encode(message))
-            self.sent_bytes[name] = self.sent_bytes.get(name, 0) + size
+            data = CODEC.encode(message)
+            CODEC.decode(data)
+            self.sent_bytes[name] = self.sent_bytes.get(name, 0) + len(data)
--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -7,6 +7,7 @@
 from lovageyoke.cli import addresses
 from lovageyoke.cli import app
 from lovageyoke.cli import audit
+from lovageyoke.cli import bench_membership
 from lovageyoke.cli import bench_policy
 from lovageyoke.cli import bench_probe_curve
 from lovageyoke.cli import confirm
@@ -24,6 +25,7 @@
 COMMANDS = (
     addresses,
     audit,
+    bench_membership,
     bench_policy,
     bench_probe_curve,
     confirm,
--- a/tests/membership/test_share.py
+++ b/tests/membership/test_share.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 
 from hypothesis import given
@@ -17,7 +18,7 @@
 from lovageyoke.membership import share as share_lib
 from membership import share_model
 
-STEPS = 4_000
+STEPS = int(os.environ.get("SHARE_STEPS", "4000"))
 SITUATION = planner.Situation("127.0.0.1:1")
 
 
