--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -7,12 +7,15 @@
 from lovageyoke.cli import addresses
 from lovageyoke.cli import app
 from lovageyoke.cli import audit
+from lovageyoke.cli import bench_claims
 from lovageyoke.cli import bench_membership
 from lovageyoke.cli import bench_policy
 from lovageyoke.cli import bench_probe_curve
 from lovageyoke.cli import confirm
+from lovageyoke.cli import demo
 from lovageyoke.cli import drain
 from lovageyoke.cli import plan
+from lovageyoke.cli import serve
 from lovageyoke.cli import services
 from lovageyoke.cli import settings_check
 from lovageyoke.cli import soak
@@ -25,12 +28,15 @@
 COMMANDS = (
     addresses,
     audit,
+    bench_claims,
     bench_membership,
     bench_policy,
     bench_probe_curve,
     confirm,
+    demo,
     drain,
     plan,
+    serve,
     services,
     settings_check,
     soak,
