Answer address questions on the callers' address

Cause: callers ask the system which addresses to use; the address book had no listener, and the operator API had types of its own for the same answer. Change: a front application answers /.well-known/lovageyoke/addresses and hands on the rest; entries report their load; a leaving entry serves on for the lifetime of answers and a margin; operators see the same answer type.

--- a/src/lovageyoke/demo/scene.py
+++ b/src/lovageyoke/demo/scene.py
@@ -181,7 +181,8 @@
         try:
             yield entry
         finally:
-            await entry.stop()
+            # A graceful stop serves on for the lifetime of address answers.
+            tasks.cancel_scope.cancel()
     await platform.aclose()
 
 
--- /dev/null
+++ b/src/lovageyoke/entry/front.py
@@ -0,0 +1,81 @@
+"""The application on the callers' address: requests and address answers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import urllib.parse
+
+from lovageyoke.addresses import answer as answer_lib
+from lovageyoke.caller import api
+from lovageyoke.clock import api as clock_api
+
+ADDRESSES_PATH = "/.well-known/lovageyoke/addresses"
+ALLOWED_METHODS = frozenset(("GET", "HEAD"))
+MS_PER_SECOND = 1_000
+
+App = Callable[[api.Scope, api.Receive, api.Send], Awaitable[None]]
+
+
+class Front:
+    """Answers address questions itself and hands on everything else.
+
+    Attributes:
+        app: Serves the services' requests.
+        book: Chooses addresses.
+    """
+
+    def __init__(
+        self, app: App, book: answer_lib.AddressBook, clock: clock_api.Clock
+    ) -> None:
+        self.app = app
+        self.book = book
+        self._clock = clock
+
+    async def __call__(
+        self, scope: api.Scope, receive: api.Receive, send: api.Send
+    ) -> None:
+        """Serves one ASGI connection scope."""
+        if scope["type"] == "http" and scope["path"] == ADDRESSES_PATH:
+            await self._answer(scope, send)
+        else:
+            await self.app(scope, receive, send)
+
+    async def _answer(self, scope: api.Scope, send: api.Send) -> None:
+        if scope["method"] not in ALLOWED_METHODS:
+            allowed = ", ".join(sorted(ALLOWED_METHODS)).encode()
+            await _respond(send, 405, ((b"allow", allowed),), b"")
+            return
+        asker = asker_of(scope)
+        found = self.book.answer(asker, self._clock.now_ms())
+        max_age = f"private, max-age={found.lifetime_ms // MS_PER_SECOND}"
+        fields = (
+            (b"content-type", b"application/json"),
+            (b"cache-control", max_age.encode()),
+        )
+        await _respond(send, 200, fields, found.to_json())
+
+
+def asker_of(scope: api.Scope) -> answer_lib.Asker:
+    """Returns what a request tells of its caller."""
+    client = scope.get("client") or ("unknown", 0)
+    query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
+    region = query.get("region", [""])[0]
+    return answer_lib.Asker(client[0], region)
+
+
+async def _respond(
+    send: api.Send,
+    status: int,
+    fields: tuple[tuple[bytes, bytes], ...],
+    body: bytes,
+) -> None:
+    length = (b"content-length", str(len(body)).encode())
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [*fields, length],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
--- a/src/lovageyoke/entry/process.py
+++ b/src/lovageyoke/entry/process.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from lovageyoke.addresses import answer
 from lovageyoke.caller import app as caller_app
 from lovageyoke.caller import server as caller_server
 from lovageyoke.clock import api as clock_api
@@ -13,6 +14,7 @@
 from lovageyoke.config import store as config_store
 from lovageyoke.config import view as config_view
 from lovageyoke.entry import drains
+from lovageyoke.entry import front
 from lovageyoke.entry import keeper as keeper_lib
 from lovageyoke.entry import listeners as listeners_lib
 from lovageyoke.entry import metrics as entry_metrics
@@ -22,6 +24,8 @@
 from lovageyoke.entry import status
 from lovageyoke.idempotency import service as claim_service
 from lovageyoke.idempotency import shards as claim_shards
+from lovageyoke.limits import admission
+from lovageyoke.limits import control
 from lovageyoke.membership import drains as drains_lib
 from lovageyoke.membership import incarnation
 from lovageyoke.membership import messages
@@ -39,6 +43,7 @@
 
 MS_PER_SECOND = 1_000
 STOP_MARGIN_MS = 1_000
+LOAD_INTERVAL_MS = 500.0
 
 
 class EntryProcess:
@@ -80,6 +85,9 @@
             spreads=(self._digests, self._drains),
             contacts=peers.contacts(settings),
         )
+        self.book = answer.AddressBook(
+            self.membership.view, settings.limits.address_lifetime_ms
+        )
         self.view = config_view.ConfigView()
         self.store = config_store.ConfigStore(platform, clock, rng)
         self.follower = self._create_follower(platform, rng)
@@ -101,8 +109,12 @@
             self.transport,
             self.claims,
             clock,
+            admission=admission.Admission(
+                control.AdmissionControl(settings.limits.max_in_flight), clock
+            ),
             on_drain=self._drain_seen,
         )
+        self.front = front.Front(self.app, self.book, clock)
         self.drains = drains.DrainKeeper(
             self._drains,
             self.app.routes,
@@ -151,6 +163,7 @@
             child.Child("services", self.keeper.run),
             child.Child("drains", self.drains.run),
             child.Child("prober", self.prober.run),
+            child.Child("load", self._report_load),
             child.Child(
                 "operators",
                 self._serve_operators,
@@ -168,12 +181,22 @@
 
     def _leave_ms(self) -> int:
         limits = self.settings.limits
-        return limits.address_lifetime_ms + limits.shutdown_ms
+        lifetime_ms = limits.address_lifetime_ms
+        return answer.linger_ms(lifetime_ms) + limits.shutdown_ms
+
+    async def _report_load(self) -> None:
+        """Tells the other entries how busy this one is."""
+        most = self.settings.limits.max_in_flight
+        while True:
+            in_use = self.app.admission.control.in_use
+            self.membership.state.load = min(100, 100 * in_use // most)
+            await self.clock.sleep_ms(LOAD_INTERVAL_MS)
 
     async def _leave(self) -> None:
         """Withdraws the addresses, serves for their lifetime, then stops."""
         self.membership.leave()
-        await self.clock.sleep_ms(self.settings.limits.address_lifetime_ms)
+        lifetime_ms = self.settings.limits.address_lifetime_ms
+        await self.clock.sleep_ms(answer.linger_ms(lifetime_ms))
         self._stop_callers.set()
 
     def _drain_seen(self, service: str, upstream_id: str) -> None:
@@ -212,7 +235,7 @@
             self.view,
             access.Authenticator(self.settings.operators, self.clock),
             status.EntryStatusProvider(
-                self.settings, self.follower, self.membership.view
+                self.settings, self.follower, self.book, self.clock
             ),
             self.follower.learned,
             extra_routes=(entry_metrics.route(registry),),
@@ -231,7 +254,7 @@
             key=tls.key,
         )
         await caller_server.serve(
-            self.app, self.listeners.caller, self._stop_callers.wait, options
+            self.front, self.listeners.caller, self._stop_callers.wait, options
         )
 
 
--- a/src/lovageyoke/entry/status.py
+++ b/src/lovageyoke/entry/status.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from lovageyoke.addresses import answer
+from lovageyoke.clock import api as clock_api
 from lovageyoke.config import follower as config_follower
 from lovageyoke.membership import api as membership_api
 from lovageyoke.operator import api
@@ -15,11 +17,13 @@
         self,
         settings: model.Settings,
         follower: config_follower.ConfigFollower,
-        membership: membership_api.MembershipView,
+        book: answer.AddressBook,
+        clock: clock_api.Clock,
     ) -> None:
         self._settings = settings
         self._follower = follower
-        self._membership = membership
+        self._book = book
+        self._clock = clock
 
     def status(self) -> api.EntryStatus:
         """Returns the state of this entry."""
@@ -34,20 +38,14 @@
             entries_current=rollout.current,
             members=tuple(
                 self._member(each, rollout)
-                for each in self._membership.members()
+                for each in self._book.view.members()
             ),
         )
 
-    def addresses(self) -> api.Addresses:
-        """Returns the addresses of the members that take new callers."""
-        alive = membership_api.MemberState.ALIVE
-        found = tuple(
-            api.EntryAddress(each.caller_address, 1.0, each.failure_domain)
-            for each in self._membership.members()
-            if each.state is alive
-        )
-        lifetime_ms = self._settings.limits.address_lifetime_ms
-        return api.Addresses(found, lifetime_ms)
+    def addresses(self) -> answer.AddressAnswer:
+        """Returns what a caller in this entry's region is told."""
+        asker = answer.Asker(self._settings.entry.entry_id)
+        return self._book.answer(asker, self._clock.now_ms())
 
     def _member(
         self, member: membership_api.Member, rollout: config_follower.Rollout
--- a/src/lovageyoke/operator/api.py
+++ b/src/lovageyoke/operator/api.py
@@ -6,33 +6,7 @@
 
 import attrs
 
-
-@attrs.frozen
-class EntryAddress:
-    """An address that callers may use.
-
-    Attributes:
-        address: Host and port.
-        weight: Share of new connections, relative to the others.
-        failure_domain: Where it is.
-    """
-
-    address: str
-    weight: float
-    failure_domain: str
-
-
-@attrs.frozen
-class Addresses:
-    """The answer to callers who ask which addresses to use.
-
-    Attributes:
-        addresses: The addresses.
-        lifetime_ms: How long the answer may be kept, in milliseconds.
-    """
-
-    addresses: tuple[EntryAddress, ...]
-    lifetime_ms: int
+from lovageyoke.addresses import answer
 
 
 @attrs.frozen
@@ -84,5 +58,5 @@
         """Returns the state of this entry."""
 
     @abc.abstractmethod
-    def addresses(self) -> Addresses:
+    def addresses(self) -> answer.AddressAnswer:
         """Returns what callers are told now."""
--- a/tests/operator/test_app.py
+++ b/tests/operator/test_app.py
@@ -11,6 +11,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from lovageyoke.addresses import answer
 from lovageyoke.config import store
 from lovageyoke.config import view
 from lovageyoke.operator import access
@@ -38,8 +39,8 @@
         return api.EntryStatus("e1", True, 0, False, 1, 1, ())
 
     def addresses(self):
-        address = api.EntryAddress("127.0.0.1:80", 1.0, "dk-east-1")
-        return api.Addresses((address,), 30_000)
+        address = answer.EntryAddress("127.0.0.1:80", 16, "dk-east-1")
+        return answer.AddressAnswer((address,), 30_000)
 
 
 def operator(name, **scope):
