Remember the latency of an ejected upstream

Cause: an upstream that came back from an ejection looked like its peers until five slow responses had shown otherwise, on each of 16 entries. Change: an ejection clears the count of samples and keeps the latency.

--- a/src/lovageyoke/routing/ejection.py
+++ b/src/lovageyoke/routing/ejection.py
@@ -126,6 +126,5 @@
         duration_ms = min(MAX_MS, BASE_MS * 2.0**health.ejections)
         health.ejections += 1
         health.until_ms = now_ms + duration_ms
-        health.latency_ms = None
         health.samples = 0
         health.failures = 0
