--- a/src/lovageyoke/routing/pool.py
+++ b/src/lovageyoke/routing/pool.py
@@ -18,7 +18,7 @@
 from lovageyoke.routing import state
 from lovageyoke.routing import tracking
 
-CHOICES = 4
+CHOICES = 14
 HALF_LIFE_MS = 40.0
 MAX_USES = 8
 LATENCY_SMOOTHING = 0.05
