Cost an upstream by its expected latency

Cause: an idle straggler cost a sixth of a busy healthy upstream, so that every surge sent requests to it and to cold upstreams.

--- a/src/lovageyoke/routing/pool.py
+++ b/src/lovageyoke/routing/pool.py
@@ -120,10 +120,11 @@
         if latency_ms is not None and self.latency_ms > 0.0:
             relative = latency_ms / self.latency_ms
         remote = known.upstream.failure_domain != self.own_failure_domain
-        value = cost.estimate(load, known.upstream.slots, relative, remote)
-        if known.slow_start_ms is None and not known.report.cold:
-            return value
-        return value / self.slow_start_part(known, now_ms)
+        part = 1.0
+        if known.slow_start_ms is not None or known.report.cold:
+            part = self.slow_start_part(known, now_ms)
+        slots = known.upstream.slots
+        return cost.estimate(load, slots, relative, part, remote)
 
     def slow_start_part(self, known: PooledState, now_ms: float) -> float:
         """Returns the part of its usual work that an upstream may get."""
