--- a/src/lovageyoke/bench/membership_fleet.py
+++ b/src/lovageyoke/bench/membership_fleet.py
@@ -53,7 +53,7 @@
         max_delay_ms: Greatest delay of a message.
         cuts: Pairs of source and target whose messages are lost.
         outage: Whether the platform's list can't be read.
-        count_bytes: Whether messages are encoded and their bytes counted.
+        count_bytes: Whether messages are encoded, counted and decoded.
     """
 
     loss: float = 0.0
@@ -113,7 +113,7 @@
         )
         others = sorted(set(self.processes) - {entry_id})
         chosen = self.rng.sample(others, min(len(others), MAX_CONTACTS))
-        state.add_contacts(dict.fromkeys(chosen, ""))
+        state.set_contacts(dict.fromkeys(chosen, ""))
         process = Process(state, region)
         self.processes[entry_id] = process
         self.vms[entry_id] = platform_api.VmState.LIVE
@@ -238,5 +238,6 @@
         name = type(message).__name__
         self.sent[name] = self.sent.get(name, 0) + 1
         if self.conditions.count_bytes:
-            size = len(CODEC.encode(message))
-            self.sent_bytes[name] = self.sent_bytes.get(name, 0) + size
+            data = CODEC.encode(message)
+            CODEC.decode(data)
+            self.sent_bytes[name] = self.sent_bytes.get(name, 0) + len(data)
--- a/src/lovageyoke/platform/http.py
+++ b/src/lovageyoke/platform/http.py
@@ -18,7 +18,8 @@
 CONNECT_TIMEOUT_MS = 1_000
 CALL_TIMEOUT_MS = 3_000
 WATCH_MARGIN_MS = 2_000
-MAX_CONNECTIONS = 256
+MAX_CONNECTIONS = 32
+MAX_WATCH_CONNECTIONS = 256
 
 Params = Mapping[str, str | int]
 
@@ -50,23 +51,30 @@
     ) -> None:
         self.base_url = base_url
         self.call_timeout_ms = call_timeout_ms
-        self._client = httpx.AsyncClient(
-            base_url=base_url,
-            verify=tls if tls is not None else True,
+        self._tls = tls
+        self._client = self._new_client(MAX_CONNECTIONS)
+        # The pool's cost per call grows with its connections, so watches,
+        # which hold one each for long, have a pool of their own.
+        self._watch_client = self._new_client(MAX_WATCH_CONNECTIONS)
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
+        await self._watch_client.aclose()
+
+    def _new_client(self, most: int) -> httpx.AsyncClient:
+        return httpx.AsyncClient(
+            base_url=self.base_url,
+            verify=self._tls if self._tls is not None else True,
             trust_env=False,
             timeout=httpx.Timeout(
                 None, connect=CONNECT_TIMEOUT_MS / MS_PER_SECOND
             ),
             limits=httpx.Limits(
-                max_connections=MAX_CONNECTIONS,
-                max_keepalive_connections=MAX_CONNECTIONS,
+                max_connections=most, max_keepalive_connections=most
             ),
         )
 
-    async def aclose(self) -> None:
-        """Closes the connections."""
-        await self._client.aclose()
-
     async def get(self, key: str) -> api.Record | None:
         """Returns the record of a key, or None if there is none."""
         response = await self._read(wire.RECORD_PATH, {"key": key})
@@ -170,8 +178,9 @@
         timeout_ms: int | None,
     ) -> httpx.Response:
         bound_ms = timeout_ms or self.call_timeout_ms
+        client = self._client if timeout_ms is None else self._watch_client
         with anyio.fail_after(bound_ms / MS_PER_SECOND):
-            return await self._client.request(
+            return await client.request(
                 method, path, params=params, content=body
             )
 
