--- a/src/lovageyoke/soak/entry.py
+++ b/src/lovageyoke/soak/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 
 import anyio
@@ -52,6 +53,7 @@
         log: The log under test.
         view: Its view of the members.
         scope: Cancelled when it crashes.
+        on_not_run: Called with the identity of each request answered not-run.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.log = log
         self.view = view
         self.scope = anyio.CancelScope()
+        self.on_not_run: Callable[[str], None] = _ignore
         self.tasks: anyio.abc.TaskGroup | None = None
         self._rng = rng
         self._ledger = ledger
@@ -167,3 +170,8 @@
         self._ledger.observe(
             invariants.NotRunAnswered(claim.identity, claim.attempt_id)
         )
+        self.on_not_run(claim.identity)
+
+
+def _ignore(identity: str) -> None:
+    """Does nothing."""
--- a/src/lovageyoke/soak/fleet.py
+++ b/src/lovageyoke/soak/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 
 import anyio
@@ -79,6 +80,7 @@
         network: The network between entries.
         entries: Running entries by id.
         serial: Entries started so far.
+        on_not_run: Called with the identity of each request answered not-run.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         self.network.tasks = tasks
         self.entries: dict[str, entry_lib.SoakEntry] = {}
         self.serial = 0
+        self.on_not_run: Callable[[str], None] | None = None
         self._members: dict[str, membership_api.Member] = {}
 
     def start_all(self) -> None:
@@ -117,6 +120,8 @@
         self._members[name] = member
         view = static.StaticMembership(name, tuple(self._members.values()))
         entry = self._make_entry(name, view)
+        if self.on_not_run is not None:
+            entry.on_not_run = self.on_not_run
         self.entries[name] = entry
         self.network.silent.discard(name)
         self.tasks.start_soon(entry.run)
--- a/src/lovageyoke/soak/run.py
+++ b/src/lovageyoke/soak/run.py
@@ -17,6 +17,8 @@
 OLD_REPEAT_SHARE = 0.1
 RECENT_IDENTITIES = 20
 MAX_COPIES = 3
+RETRY_SHARE = 0.6
+MAX_RETRY_DELAY_MS = 1_000.0
 OTHER_FINGERPRINT_SHARE = 0.02
 RECOVERY_MS = 20_000.0
 PROBE_TRIES = 5
@@ -81,10 +83,11 @@
     async with anyio.create_task_group() as tasks:
         fleet = fleet_lib.Fleet(seed, tasks, ledger)
         async with fleet.network.running():
+            callers = _Callers(fleet)
             fleet.start_all()
             chaos = chaos_lib.Chaos(fleet)
             tasks.start_soon(chaos.run)
-            await _call(fleet, steps)
+            await callers.run(steps)
             chaos.stopped = True
             await _check_recovery(fleet)
             report = _report(seed, fleet)
@@ -92,24 +95,51 @@
     return report
 
 
-async def _call(fleet: fleet_lib.Fleet, steps: int) -> None:
-    """Sends requests, many of them repeats, to one or more entries."""
-    rng = fleet.rng
-    used: list[tuple[float, str]] = []
-    attempt = 0
-    while fleet.trace.steps < steps:
-        gap_ms = rng.uniform(0, MAX_REQUEST_GAP_MS)
-        await anyio.sleep(gap_ms / MS_PER_SECOND)
-        identity = _pick_identity(fleet, used)
-        for name in _pick_entries(fleet):
-            attempt += 1
+class _Callers:
+    """Send requests, many of them repeats, to one or more entries.
+
+    Attributes:
+        fleet: The fleet.
+        used: Identities in the order of their first use, with its time.
+        attempts: Attempts sent so far.
+    """
+
+    def __init__(self, fleet: fleet_lib.Fleet) -> None:
+        self.fleet = fleet
+        self.used: list[tuple[float, str]] = []
+        self.attempts = 0
+        fleet.on_not_run = self.retry
+
+    async def run(self, steps: int) -> None:
+        """Sends new requests until the run has had its steps."""
+        rng = self.fleet.rng
+        while self.fleet.trace.steps < steps:
+            gap_ms = rng.uniform(0, MAX_REQUEST_GAP_MS)
+            await anyio.sleep(gap_ms / MS_PER_SECOND)
+            identity = _pick_identity(self.fleet, self.used)
+            self._send(identity, rng.randint(1, MAX_COPIES))
+        self.fleet.on_not_run = None
+
+    def retry(self, identity: str) -> None:
+        """Sends a request that was not run again, as many callers do."""
+        if self.fleet.rng.random() < RETRY_SHARE:
+            self.fleet.tasks.start_soon(self._retry, identity)
+
+    async def _retry(self, identity: str) -> None:
+        delay_ms = self.fleet.rng.uniform(0, MAX_RETRY_DELAY_MS)
+        await anyio.sleep(delay_ms / MS_PER_SECOND)
+        self._send(identity, 1)
+
+    def _send(self, identity: str, copies: int) -> None:
+        rng = self.fleet.rng
+        names = sorted(self.fleet.entries)
+        for name in rng.sample(names, min(len(names), copies)):
+            self.attempts += 1
             other = rng.random() < OTHER_FINGERPRINT_SHARE
-            fleet.entries[name].start(
-                entry_lib.Request(
-                    identity,
-                    "g" if other else "f",
-                    f"a{attempt}",
-                )
+            fingerprint = "g" if other else "f"
+            attempt_id = f"a{self.attempts}"
+            self.fleet.entries[name].start(
+                entry_lib.Request(identity, fingerprint, attempt_id)
             )
 
 
@@ -130,12 +160,6 @@
     return identity
 
 
-def _pick_entries(fleet: fleet_lib.Fleet) -> list[str]:
-    names = sorted(fleet.entries)
-    copies = min(len(names), fleet.rng.randint(1, MAX_COPIES))
-    return fleet.rng.sample(names, copies)
-
-
 async def _check_recovery(fleet: fleet_lib.Fleet) -> None:
     """Requires that claims are granted again once faults have healed."""
     await anyio.sleep(RECOVERY_MS / MS_PER_SECOND)
