Reach entries that are not neighbours over links made on demand

Cause: at scale an entry keeps links to at most nineteen neighbours, but a claim goes to the owner of a shard, which may be any entry. Change: the channel resolves the address of an entry without a link, and closes such a link after a minute without use. MembershipTask.address_of gives the addresses.

--- a/src/lovageyoke/membership/task.py
+++ b/src/lovageyoke/membership/task.py
@@ -124,6 +124,13 @@
         await self._send_all(self.state.farewell(self._clock.now_ms()))
         self._stopped.set()
 
+    def address_of(self, entry_id: str) -> str | None:
+        """Returns the peer address of an entry, or None if it is unknown."""
+        record = self.state.members.table.get(entry_id)
+        if record is None or record.state is api.MemberState.DEAD:
+            return None
+        return record.peer_address
+
     def announce(self) -> None:
         """Sends what the spread providers have to say with the next tick."""
         self.state.urgent = True
--- a/src/lovageyoke/peer/websocket.py
+++ b/src/lovageyoke/peer/websocket.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 import socket
 import ssl
@@ -34,6 +35,7 @@
 CLOSE_TIMEOUT_S = 1.0
 FIRST_RETRY_MS = 100.0
 MAX_RETRY_MS = 5_000.0
+IDLE_MS = 60_000.0
 
 FAILURES = (
     OSError,
@@ -73,9 +75,12 @@
         connection: The open connection, or None.
         ready: Set while there is an open connection.
         scope: Ends the task that keeps the link up.
+        idle_since_ms: When it was last used, for a link made on demand; None
+            for one that is kept.
     """
 
     address: str
+    idle_since_ms: float | None = None
     connection: connection_lib.Connection | None = None
     ready: anyio.Event = attrs.field(factory=anyio.Event)
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
@@ -103,6 +108,8 @@
         entry_id: This entry's id.
         handlers: Handlers by message type.
         links: Outgoing connections by entry id.
+        resolve: Returns the peer address of an entry without a link, or None.
+            A link made so is closed when it is idle.
     """
 
     def __init__(
@@ -118,6 +125,7 @@
         self.entry_id = entry_id
         self.handlers: connection_lib.Handlers = {}
         self.links: dict[str, Link] = {}
+        self.resolve: Callable[[str], str | None] = lambda _: None
         self._listener = listener
         self._credentials = credentials
         self._clock = clock
@@ -139,7 +147,7 @@
             try:
                 for entry_id, link in self.links.items():
                     tasks.start_soon(self._keep_up, entry_id, link)
-                await anyio.sleep_forever()
+                await self._close_idle()
             finally:
                 self._tasks = None
 
@@ -152,14 +160,12 @@
         """
         known = self.links.get(entry_id)
         if known is not None and known.address == address:
+            known.idle_since_ms = None
             return
-        self.remove(entry_id)
-        link = self.links[entry_id] = Link(address)
-        if self._tasks is not None:
-            self._tasks.start_soon(self._keep_up, entry_id, link)
+        self._add(entry_id, Link(address))
 
     def remove(self, entry_id: str) -> None:
-        """Closes the connection to a peer for good."""
+        """Closes the connection to a peer."""
         link = self.links.pop(entry_id, None)
         if link is not None:
             link.scope.cancel()
@@ -172,7 +178,7 @@
 
     async def send(self, entry_id: str, message: api.Message) -> None:
         """Sends a message without a reply; lost without a connection."""
-        link = self.links.get(entry_id)
+        link = self._link_to(entry_id)
         connection = link.usable() if link is not None else None
         if connection is None:
             return
@@ -197,7 +203,7 @@
     async def _connection_to(
         self, entry_id: str, timeout_ms: float
     ) -> connection_lib.Connection:
-        link = self.links.get(entry_id)
+        link = self._link_to(entry_id)
         if link is None:
             raise exceptions.PeerError(f"no address of {entry_id} is known")
         timeout_s = timeout_ms / connection_lib.MS_PER_SECOND
@@ -209,6 +215,34 @@
                 await link.ready.wait()
         raise exceptions.PeerError(f"no connection to {entry_id}")
 
+    def _add(self, entry_id: str, link: Link) -> None:
+        self.remove(entry_id)
+        self.links[entry_id] = link
+        if self._tasks is not None:
+            self._tasks.start_soon(self._keep_up, entry_id, link)
+
+    def _link_to(self, entry_id: str) -> Link | None:
+        link = self.links.get(entry_id)
+        now_ms = self._clock.now_ms()
+        if link is None:
+            address = self.resolve(entry_id)
+            if not address:
+                return None
+            link = Link(address, idle_since_ms=now_ms)
+            self._add(entry_id, link)
+        if link.idle_since_ms is not None:
+            link.idle_since_ms = now_ms
+        return link
+
+    async def _close_idle(self) -> None:
+        while True:
+            await self._clock.sleep_ms(IDLE_MS / 4)
+            oldest_ms = self._clock.now_ms() - IDLE_MS
+            for entry_id, link in list(self.links.items()):
+                idle_ms = link.idle_since_ms
+                if idle_ms is not None and idle_ms < oldest_ms:
+                    self.remove(entry_id)
+
     async def _keep_up(self, entry_id: str, link: Link) -> None:
         delay_ms = FIRST_RETRY_MS
         with link.scope:
--- a/tests/peer/test_websocket.py
+++ b/tests/peer/test_websocket.py
@@ -134,6 +134,20 @@
             await a.request(name, Ping(1), 300)
 
 
+async def test_a_link_made_on_demand_is_closed_when_idle(monkeypatch):
+    async with pair() as (a, _, address):
+        a.remove("b")
+        a.resolve = {"b": address}.get
+        reply = await a.request("b", Ping(1), PATIENCE_MS)
+        assertions.assert_that(reply, matchers.Equals(Ping(2)))
+        connection = a.links["b"].connection
+        a.links["b"].idle_since_ms -= 2 * websocket.IDLE_MS
+        monkeypatch.setattr(websocket, "IDLE_MS", 20.0)
+        a._tasks.start_soon(a._close_idle)
+        await connection.ended.wait()
+        assertions.assert_that(a.links, matchers.Equals({}))
+
+
 async def test_a_connection_without_a_sign_of_life_is_replaced():
     hold = anyio.Event()
 
