--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -11,6 +11,7 @@
 from lovageyoke.cli import bench_membership
 from lovageyoke.cli import bench_policy
 from lovageyoke.cli import bench_probe_curve
+from lovageyoke.cli import bench_propagation
 from lovageyoke.cli import confirm
 from lovageyoke.cli import demo
 from lovageyoke.cli import drain
@@ -19,6 +20,7 @@
 from lovageyoke.cli import services
 from lovageyoke.cli import settings_check
 from lovageyoke.cli import soak
+from lovageyoke.cli import soak_config
 from lovageyoke.cli import standin_platform
 from lovageyoke.cli import standin_upstream
 from lovageyoke.cli import status
@@ -32,6 +34,7 @@
     bench_membership,
     bench_policy,
     bench_probe_curve,
+    bench_propagation,
     confirm,
     demo,
     drain,
@@ -40,6 +43,7 @@
     services,
     settings_check,
     soak,
+    soak_config,
     standin_platform,
     standin_upstream,
     status,
