--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 VENV ?= .venv
 PYTHON ?= python3
+TEST_WORKERS ?= 4
 BIN := $(VENV)/bin
 export PYTHONPATH := src
 export UV_USE_IO_URING := 0
@@ -17,7 +18,7 @@
 	$(BIN)/python -m lovageyoke demo
 
 test: setup dist/lovageyoke
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(TEST_WORKERS)
 
 check: setup
 	$(BIN)/ruff format --check src tests
--- a/tests/fakes/operator_server.py
+++ b/tests/fakes/operator_server.py
@@ -8,6 +8,7 @@
 
 from anyio import from_thread
 
+from lovageyoke.addresses import answer
 from lovageyoke.clock import system
 from lovageyoke.config import store
 from lovageyoke.config import view
@@ -38,8 +39,8 @@
         return api.EntryStatus("entry-1", True, count, False, 1, 1, (member,))
 
     def addresses(self):
-        address = api.EntryAddress("127.0.0.1:8080", 1.0, "dk-east-1")
-        return api.Addresses((address,), 30_000)
+        address = answer.EntryAddress("127.0.0.1:8080", 16, "dk-east-1")
+        return answer.AddressAnswer((address,), 30_000)
 
 
 def make_app():
