--- a/src/lovageyoke/config/exchange.py
+++ b/src/lovageyoke/config/exchange.py
@@ -36,9 +36,10 @@
         clock: clock_api.Clock,
         generator: random.Random,
         is_ready: Callable[[], bool],
+        digests: spread.PeerDigests | None = None,
     ) -> None:
         self.view = view
-        self.digests = spread.PeerDigests()
+        self.digests = digests or spread.PeerDigests()
         self._channel = channel
         self._membership = membership
         self._clock = clock
--- a/src/lovageyoke/config/follower.py
+++ b/src/lovageyoke/config/follower.py
@@ -72,6 +72,7 @@
         clock: clock_api.Clock,
         generator: random.Random,
         channel: peer_api.PeerChannel | None = None,
+        digests: spread.PeerDigests | None = None,
         calls_per_s: float = sources.CALLS_PER_S,
     ) -> None:
         self.view = view
@@ -91,6 +92,7 @@
                 clock=clock,
                 generator=generator,
                 is_ready=self.ready.is_set,
+                digests=digests,
             )
 
     async def run(self) -> None:
