Make the pool's choice cheaper

Cause: choose() over 20 upstreams took 38 us on a busy machine, in fourteen costs of two calls and several checks each.

--- a/src/lovageyoke/routing/pool.py
+++ b/src/lovageyoke/routing/pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from collections.abc import Set as AbstractSet
 import random
+from typing import cast
 
 import attrs
 
@@ -33,6 +34,7 @@
         report: Its newest report.
         health: Its recent latency and failures.
         slow_start_ms: When its slow start began, or None when it is over.
+        remote: Whether it is in another failure domain.
     """
 
     report: report_pool.PooledReport = attrs.field(
@@ -40,6 +42,7 @@
     )
     health: ejection.Health = attrs.field(factory=ejection.Health)
     slow_start_ms: float | None = None
+    remote: bool = False
 
 
 class PoolPolicy(tracking.TrackingPolicy):
@@ -81,6 +84,15 @@
         slow_start_ms = now_ms if self.states else None
         return PooledState(upstream, now_ms, slow_start_ms=slow_start_ms)
 
+    def set_upstreams(
+        self, upstreams: tuple[model.Upstream, ...], now_ms: float
+    ) -> None:
+        """Replaces the set of upstreams; keeps what is known of old ones."""
+        super().set_upstreams(upstreams, now_ms)
+        for known in self.states.values():
+            domain = known.upstream.failure_domain
+            as_pooled(known).remote = domain != self.own_failure_domain
+
     def refresh_usable(self) -> None:
         """Recomputes the upstreams that may be sent new work."""
         self.usable = [
@@ -99,15 +111,16 @@
         self, candidates: Sequence[state.UpstreamState], now_ms: float
     ) -> state.UpstreamState:
         """Chooses the cheapest of a random sample."""
+        pooled = cast(Sequence[PooledState], candidates)
         rand = self.rng.random
-        count = len(candidates)
-        best = candidates[int(rand() * count)]
-        best_cost = self.cost(as_pooled(best), now_ms)
+        count = len(pooled)
+        best = pooled[int(rand() * count)]
+        best_cost = self.cost(best, now_ms)
         for _ in range(min(CHOICES, count) - 1):
-            other = candidates[int(rand() * count)]
+            other = pooled[int(rand() * count)]
             if other is best:
                 continue
-            other_cost = self.cost(as_pooled(other), now_ms)
+            other_cost = self.cost(other, now_ms)
             if other_cost < best_cost:
                 best, best_cost = other, other_cost
         return best
@@ -119,12 +132,12 @@
         latency_ms = known.health.latency_ms
         if latency_ms is not None and self.latency_ms > 0.0:
             relative = latency_ms / self.latency_ms
-        remote = known.upstream.failure_domain != self.own_failure_domain
         part = 1.0
         if known.slow_start_ms is not None or known.report.cold:
             part = self.slow_start_part(known, now_ms)
-        slots = known.upstream.slots
-        return cost.estimate(load, slots, relative, part, remote)
+        return cost.estimate(
+            load, known.upstream.slots, relative, part, known.remote
+        )
 
     def slow_start_part(self, known: PooledState, now_ms: float) -> float:
         """Returns the part of its usual work that an upstream may get."""
--- a/src/lovageyoke/routing/report_pool.py
+++ b/src/lovageyoke/routing/report_pool.py
@@ -74,10 +74,12 @@
             in_flight: Own requests in flight there.
             now_ms: The present time in milliseconds.
         """
-        prior = max(self.mean_load, float(in_flight))
+        prior = self.mean_load
+        prior = max(prior, in_flight)
         if pooled.uses >= self.max_uses:
             return prior + in_flight
+        reported = pooled.load + pooled.change
+        reported = max(reported, in_flight)
         age_ms = now_ms - pooled.received_ms
         trust = math.exp(-age_ms * self._decay_per_ms)
-        reported = max(pooled.load + pooled.change, float(in_flight))
         return trust * reported + (1.0 - trust) * (prior + in_flight)
