Let the policy bench set the probe budget

Cause: the baselines send hardly any probes, so the pool has to be compared at that cost too. Conclusion: one option serves every comparison at equal cost.

--- a/src/lovageyoke/cli/bench_policy.py
+++ b/src/lovageyoke/cli/bench_policy.py
@@ -6,6 +6,7 @@
 import pathlib
 from typing import Annotated
 
+import attrs
 from rich import console
 import typer
 
@@ -31,6 +32,10 @@
     policy: Annotated[
         list[str], typer.Option(help="Policies to compare.")
     ] = list(registry.NAMES),  # noqa: B006
+    probes_per_s: Annotated[
+        float | None,
+        typer.Option(min=0.0, help="Probe budget; the deployment's if unset."),
+    ] = None,
     seeds: Annotated[
         int, typer.Option(min=1, help="Seeds, from 1 to this number.")
     ] = 3,
@@ -47,7 +52,7 @@
     check_names("--scenario", scenario, policy_model.SCENARIOS)
     check_names("--policy", policy, registry.NAMES)
     summaries = [
-        run_seeds(policy_model.DEPLOYMENTS[where], each, name, seeds)
+        run_seeds(find_deployment(where, probes_per_s), each, name, seeds)
         for where in deployment
         for each in scenario
         for name in policy
@@ -59,6 +64,16 @@
         policy_report.write_page(report, "Policy bench", summaries, images)
 
 
+def find_deployment(
+    name: str, probes_per_s: float | None
+) -> policy_model.Deployment:
+    """Returns a deployment, with another probe budget if one is given."""
+    deployment = policy_model.DEPLOYMENTS[name]
+    if probes_per_s is None:
+        return deployment
+    return attrs.evolve(deployment, probes_per_s=probes_per_s)
+
+
 def run_seeds(
     deployment: policy_model.Deployment,
     scenario: str,
