--- a/src/lovageyoke/membership/roster_keeper.py
+++ b/src/lovageyoke/membership/roster_keeper.py
@@ -20,6 +20,7 @@
 RETRY_MS = 1_000.0
 MAX_RETRY_MS = 60_000.0
 GONE_MS = 30_000.0
+MAX_EAGER_MEMBERS = 32
 CARETAKER_KEY = "probe-roster"
 
 
@@ -173,6 +174,9 @@
         return self._hears_of_growth() or self.share.confirms_growth(now_ms)
 
     def _hears_of_growth(self) -> bool:
+        # In a large fleet all would read at once after each join.
+        if len(self._state.members.states) > MAX_EAGER_MEMBERS:
+            return False
         newest = max(self._state.generations.values(), default=0)
         return newest > self.share.roster.generation
 
--- a/tests/membership/test_task.py
+++ b/tests/membership/test_task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import random
 
@@ -160,6 +161,26 @@
         )
 
 
+async def test_a_process_that_was_paused_does_not_probe_until_it_has_read():
+    async with running() as world:
+        asyncio.get_running_loop().virtual_s += 10
+        assertions.assert_that(
+            world.divisors(),
+            matchers.AllMatch(matchers.Equals(api.NO_SHARE_DIVISOR)),
+        )
+        world.injector.faults.outage = True
+        await anyio.sleep(5)
+        assertions.assert_that(
+            world.divisors(),
+            matchers.AllMatch(matchers.Equals(api.NO_SHARE_DIVISOR)),
+        )
+        world.injector.faults.outage = False
+        await anyio.sleep(80)
+        assertions.assert_that(
+            world.divisors(), matchers.AllMatch(matchers.LessThan(10))
+        )
+
+
 async def test_lost_answers_of_the_platform_are_settled_by_reading():
     async with running(outage=True) as world:
         world.injector.faults.outage = False
