--- /dev/null
+++ b/src/lovageyoke/cli/bench.py
@@ -0,0 +1,10 @@
+"""The group of commands that measure."""
+
+from __future__ import annotations
+
+import typer
+
+from lovageyoke.cli import app
+
+BENCH = typer.Typer(help="Measure on this machine.", no_args_is_help=True)
+app.APP.add_typer(BENCH, name="bench")
