Read body parts that have already come without a timer

Cause: each read of a body part entered a cancel scope and set a timer, also when the parser held the part; short answers need two reads. Change: the parser is asked first; only a wait for bytes is timed.

--- a/src/lovageyoke/transport/h11_connection.py
+++ b/src/lovageyoke/transport/h11_connection.py
@@ -106,38 +106,60 @@
     async def read_body(self) -> bytes:
         """Returns the next part of the body, b"" at its end.
 
+        Raises:
+            UpstreamError: Kind RESPONSE_TRUNCATED.
+        """
+        part = self.buffered_body()
+        while part is None:
+            await self._receive(Kind.RESPONSE_TRUNCATED)
+            part = self.buffered_body()
+        return part
+
+    def buffered_body(self) -> bytes | None:
+        """Returns the next part of the body if it has already come.
+
+        Returns:
+            The part, b"" at the body's end, None when bytes are missing.
+
         Raises:
             UpstreamError: Kind RESPONSE_TRUNCATED.
         """
         while True:
-            event = await self._next_event(Kind.RESPONSE_TRUNCATED)
-            if isinstance(event, h11.Data):
-                if event.data:
-                    return bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
+            event = self._parse(Kind.RESPONSE_TRUNCATED)
+            if event is h11.NEED_DATA:
+                return None
+            if isinstance(event, h11.EndOfMessage):
                 return b""
-            else:
+            if not isinstance(event, h11.Data):
                 raise exceptions.UpstreamError(
                     "the connection closed inside a response",
                     Kind.RESPONSE_TRUNCATED,
                 )
+            if event.data:
+                return bytes(event.data)
 
     async def _next_event(self, lost: kinds.ErrorKind) -> h11.Event | type:
+        event = self._parse(lost)
+        while event is h11.NEED_DATA:
+            await self._receive(lost)
+            event = self._parse(lost)
+        return event
+
+    def _parse(self, lost: kinds.ErrorKind) -> h11.Event | type:
         try:
-            event = self._state.next_event()
-            while event is h11.NEED_DATA:
-                self._state.receive_data(await sockets.receive(self.sock))
-                event = self._state.next_event()
+            return self._state.next_event()
         except h11.RemoteProtocolError as error:
-            kind = Kind.UPSTREAM_PROTOCOL
-            if self._state.trailing_data[1]:
-                kind = lost
+            ended = self._state.trailing_data[1]
+            kind = lost if ended else Kind.UPSTREAM_PROTOCOL
             raise exceptions.UpstreamError(str(error), kind) from error
+
+    async def _receive(self, lost: kinds.ErrorKind) -> None:
+        try:
+            self._state.receive_data(await sockets.receive(self.sock))
         except OSError as error:
             raise exceptions.UpstreamError(
                 f"read failed: {error.strerror}", lost
             ) from error
-        return event
 
     def recycle(self, now_ms: float) -> bool:
         """Prepares for another exchange.
--- a/src/lovageyoke/transport/pool.py
+++ b/src/lovageyoke/transport/pool.py
@@ -241,14 +241,15 @@
         """Returns the next part of the response body, b"" at its end."""
         if self._connection is None:
             return b""
-        limit_ms = self._transport.now_ms() + BODY_SILENCE_MS
-        data = await self._transport.before(
-            limit_ms,
-            self._connection.read_body(),
-            exceptions.UpstreamError(
-                "the response stalled", Kind.UPSTREAM_SILENT
-            ),
-        )
+        data = self._connection.buffered_body()
+        if data is None:
+            data = await self._transport.before(
+                self._transport.now_ms() + BODY_SILENCE_MS,
+                self._connection.read_body(),
+                exceptions.UpstreamError(
+                    "the response stalled", Kind.UPSTREAM_SILENT
+                ),
+            )
         if not data:
             self.close()
         return data
