Watch for a caller's leaving only when its answer takes long

Cause: each repeatable request opened a task group and started a task that waited for its caller to leave; both are rarely of use within 20 ms. Change: a timer starts the watch, and hedges, as tasks of the timers.

--- a/src/lovageyoke/caller/app.py
+++ b/src/lovageyoke/caller/app.py
@@ -13,6 +13,7 @@
 from lovageyoke.caller import intake
 from lovageyoke.caller import problem
 from lovageyoke.caller import routes
+from lovageyoke.caller import watch
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
@@ -48,6 +49,8 @@
         on_drain: api.DrainListener,
     ) -> None:
         self.admission = admission
+        self._clock = clock
+        self._timers = transport.timers
         self.routes = routes.Routes(policies, admission, clock, entries)
         self._intake = intake.Intake(
             services, self.routes, clock, transport.timers
@@ -101,26 +104,9 @@
         self, call: call_module.Call, receive: api.Receive, send: api.Send
     ) -> None:
         """Forwards a repeatable request until the caller leaves."""
-        failure: exceptions.LovageyokeError | None = None
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
-            call.tasks = tasks
-            try:
-                await self._forwarder.forward(call, send)
-            except exceptions.LovageyokeError as error:
-                failure = error
-            tasks.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-
-
-async def _cancel_when_gone(
-    receive: api.Receive, scope: anyio.CancelScope
-) -> None:
-    message = await receive()
-    while message["type"] != "http.disconnect":
-        message = await receive()
-    scope.cancel()
+        now_ms = self._clock.now_ms()
+        with watch.cancelled_when_gone(receive, self._timers, now_ms):
+            await self._forwarder.forward(call, send)
 
 
 async def _serve_lifespan(receive: api.Receive, send: api.Send) -> None:
--- a/src/lovageyoke/caller/call.py
+++ b/src/lovageyoke/caller/call.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import anyio.abc
 import attrs
 
 from lovageyoke.caller import routes
@@ -23,7 +22,6 @@
         reads_chunks: Whether the caller understands an answer in chunks; if
             not, it takes the connection's end for the answer's.
         marks: What the request says of its chain of calls.
-        tasks: Where a hedge may run, None when it may not be hedged.
         attempts: Attempts that were begun.
         may_have_run: Whether an attempt's outcome is unknown.
         excluded: Upstreams that were tried.
@@ -35,7 +33,6 @@
     deadline_ms: float
     reads_chunks: bool = True
     marks: call_marks.CallMarks = attrs.field(factory=call_marks.CallMarks)
-    tasks: anyio.abc.TaskGroup | None = None
     attempts: int = 0
     may_have_run: bool = False
     excluded: set[str] = attrs.field(factory=set)
--- a/src/lovageyoke/caller/dispatch.py
+++ b/src/lovageyoke/caller/dispatch.py
@@ -57,7 +57,7 @@
     async def _first_of(self, call: call_module.Call) -> attempt_module.Answer:
         now_ms = self._clock.now_ms()
         delay_ms = None
-        if call.tasks is not None and not call.attempts:
+        if not call.attempts:
             delay_ms = hedge.delay_ms(
                 call.route.latency,
                 call.request.repeatable,
@@ -67,9 +67,9 @@
             )
         if delay_ms is None:
             return await self.attempt(call)
-        return await race.Race(self, call, self._clock).run(
-            self._transport.timers, now_ms + delay_ms
-        )
+        return await race.Race(
+            self, call, self._clock, self._transport.timers
+        ).run(now_ms + delay_ms)
 
     async def dispatch_rest(
         self, call: call_module.Call, request: transport_api.Request
--- a/src/lovageyoke/caller/race.py
+++ b/src/lovageyoke/caller/race.py
@@ -37,29 +37,28 @@
         attempter: Attempter,
         call: call_module.Call,
         clock: clock_api.Clock,
+        clockwork: timers.Timers,
     ) -> None:
         self.settled = False
         self.answer: attempt_module.Answer | None = None
         self._attempter = attempter
         self._call = call
         self._clock = clock
+        self._timers = clockwork
         self._first = anyio.CancelScope()
         self._second: anyio.CancelScope | None = None
         self._second_ended = anyio.Event()
 
-    async def run(
-        self, clockwork: timers.Timers, second_due_ms: float
-    ) -> attempt_module.Answer:
+    async def run(self, second_due_ms: float) -> attempt_module.Answer:
         """Returns the first answer.
 
         Args:
-            clockwork: Starts the second attempt.
-            second_due_ms: When it is due.
+            second_due_ms: When the second attempt is due.
 
         Raises:
             LovageyokeError: The first attempt's error, when both failed.
         """
-        timer = clockwork.call_at(second_due_ms, self._start_second)
+        timer = self._timers.call_at(second_due_ms, self._start_second)
         try:
             return await self._run()
         finally:
@@ -92,24 +91,20 @@
             self.answer.end(routing_api.Result.CANCELLED)
 
     def _start_second(self) -> None:
-        tasks = self._call.tasks
-        budget = self._call.route.budget
-        if tasks is None or not budget.try_spend(self._clock.now_ms()):
+        if not self._call.route.budget.try_spend(self._clock.now_ms()):
             return
-        self._second = anyio.CancelScope()
-        tasks.start_soon(self._run_second, self._second)
+        scope = anyio.CancelScope()
+        if self._timers.spawn(scope, self._run_second):
+            self._second = scope
 
-    async def _run_second(self, scope: anyio.CancelScope) -> None:
+    async def _run_second(self) -> None:
         try:
-            with scope:
-                answer = await self._attempter.attempt(
-                    self._call, elsewhere=True
-                )
-                if self.settled:
-                    answer.end(routing_api.Result.CANCELLED)
-                else:
-                    self.answer = answer
-                    self._first.cancel()
+            answer = await self._attempter.attempt(self._call, elsewhere=True)
+            if self.settled:
+                answer.end(routing_api.Result.CANCELLED)
+            else:
+                self.answer = answer
+                self._first.cancel()
         except exceptions.LovageyokeError:
             # The first attempt goes on and decides the outcome.
             pass
--- /dev/null
+++ b/src/lovageyoke/caller/watch.py
@@ -0,0 +1,57 @@
+"""Notices that a caller has left."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+
+import anyio
+
+from lovageyoke.caller import api
+from lovageyoke.transport import timers
+
+# Most answers come sooner, and then no task watches their caller.
+WATCH_DELAY_MS = 20.0
+
+
+@contextlib.contextmanager
+def cancelled_when_gone(
+    receive: api.Receive, clockwork: timers.Timers, now_ms: float
+) -> Iterator[None]:
+    """Cancels the block when the caller leaves.
+
+    Args:
+        receive: The ASGI receive function; the body was read.
+        clockwork: Starts the watch.
+        now_ms: The present time in milliseconds.
+    """
+    with anyio.CancelScope() as block:
+        watch = _Watch(receive, block, clockwork)
+        timer = clockwork.call_at(now_ms + WATCH_DELAY_MS, watch.start)
+        try:
+            yield
+        finally:
+            timer.cancel()
+            watch.scope.cancel()
+
+
+class _Watch:
+    def __init__(
+        self,
+        receive: api.Receive,
+        block: anyio.CancelScope,
+        clockwork: timers.Timers,
+    ) -> None:
+        self.scope = anyio.CancelScope()
+        self._receive = receive
+        self._block = block
+        self._timers = clockwork
+
+    def start(self) -> None:
+        self._timers.spawn(self.scope, self._run)
+
+    async def _run(self) -> None:
+        message = await self._receive()
+        while message["type"] != "http.disconnect":
+            message = await self._receive()
+        self._block.cancel()
--- a/src/lovageyoke/transport/timers.py
+++ b/src/lovageyoke/transport/timers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import heapq
 import itertools
 
 import anyio
+import anyio.abc
 
 from lovageyoke.clock import api as clock_api
 
@@ -33,6 +35,8 @@
 class Timers:
     """Calls callbacks when they are due, from a task that runs ``run``.
 
+    Callbacks may start tasks, which saves a task group for each request.
+
     Attributes:
         heap: Due time, order and timer of each; the earliest first.
     """
@@ -42,6 +46,7 @@
         self.heap: list[tuple[float, int, Timer]] = []
         self._order = itertools.count()
         self._waiting: anyio.CancelScope | None = None
+        self._tasks: anyio.abc.TaskGroup | None = None
 
     def call_at(self, due_ms: float, callback: Callable[[], None]) -> Timer:
         """Arranges for a call at a monotonic time in milliseconds."""
@@ -52,12 +57,26 @@
             self._waiting.cancel()
         return timer
 
+    def spawn(
+        self, scope: anyio.CancelScope, function: Callable[[], Awaitable[None]]
+    ) -> bool:
+        """Starts a task that ends with ``run`` or by its scope.
+
+        Returns:
+            Whether it was started; not while ``run`` isn't running.
+        """
+        if self._tasks is None:
+            return False
+        self._tasks.start_soon(_run_in, scope, function)
+        return True
+
     async def run(self) -> None:
         """Calls callbacks until it is cancelled."""
-        while True:
-            self._call_due()
-            with anyio.CancelScope() as self._waiting:
-                await self._wait()
+        async with anyio.create_task_group() as self._tasks:
+            while True:
+                self._call_due()
+                with anyio.CancelScope() as self._waiting:
+                    await self._wait()
 
     def _call_due(self) -> None:
         now_ms = self._clock.now_ms()
@@ -75,3 +94,10 @@
             await anyio.sleep_forever()
         wait_ms = self.heap[0][0] - self._clock.now_ms()
         await self._clock.sleep_ms(wait_ms)
+
+
+async def _run_in(
+    scope: anyio.CancelScope, function: Callable[[], Awaitable[None]]
+) -> None:
+    with scope:
+        await function()
