--- a/src/lovageyoke/cli/bench.py
+++ b/src/lovageyoke/cli/bench.py
@@ -6,5 +6,5 @@
 
 from lovageyoke.cli import app
 
-BENCH = typer.Typer(help="Measure on this machine.", no_args_is_help=True)
+BENCH = typer.Typer(help="Measure decisions and paths.", no_args_is_help=True)
 app.APP.add_typer(BENCH, name="bench")
--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -8,6 +8,8 @@
 from lovageyoke.cli import app
 from lovageyoke.cli import audit
 from lovageyoke.cli import bench_path
+from lovageyoke.cli import bench_policy
+from lovageyoke.cli import bench_probe_curve
 from lovageyoke.cli import confirm
 from lovageyoke.cli import drain
 from lovageyoke.cli import plan
@@ -21,9 +23,11 @@
 from lovageyoke.cli import version
 
 COMMANDS = (
-    bench_path,
     addresses,
     audit,
+    bench_path,
+    bench_policy,
+    bench_probe_curve,
     confirm,
     drain,
     plan,
