--- a/tests/caller/test_hostile_callers.py
+++ b/tests/caller/test_hostile_callers.py
@@ -221,3 +221,18 @@
     assertions.assert_that(
         found, matchers.Equals(server.CALLER_UNACKNOWLEDGED_MS)
     )
+
+
+@pytest.mark.anyio
+async def test_a_connection_that_its_caller_closed_is_closed_at_once():
+    upstream = scripted_upstream.ScriptedUpstream()
+    async with (
+        path.running(upstream) as entry,
+        await entry.connect() as stream,
+    ):
+        await stream.send(b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n")
+        await stream.receive()
+        await stream.send_eof()
+        with anyio.fail_after(10):
+            rest = [part async for part in stream]
+    assertions.assert_that(len(rest), matchers.LessThan(3))
