Bound the buffers of a download and answer unexpected errors

Cause: kernel buffers grow to several MB for each download, and an unexpected error left the caller without a word of the outcome. Unexpected errors are logged and answered with 500 and an unknown outcome. Conclusion: memory of a slow caller is bounded; the kernel's part is set, not measured.

--- a/src/lovageyoke/caller/app.py
+++ b/src/lovageyoke/caller/app.py
@@ -87,6 +87,15 @@
             if error.kind is not Kind.CALLER_GONE:
                 may_have_run = call is not None and call.may_have_run
                 await problem.send(error, may_have_run, send)
+        except Exception:
+            # An answer that has begun refuses the second one, which closes
+            # the connection.
+            logger.exception("a request ended with an unexpected error")
+            await problem.send(
+                exceptions.LovageyokeError("unexpected error"),
+                may_have_run=True,
+                send=send,
+            )
 
     async def _forward(
         self, call: call_module.Call, receive: api.Receive, send: api.Send
--- a/src/lovageyoke/caller/server.py
+++ b/src/lovageyoke/caller/server.py
@@ -20,6 +20,7 @@
 BACKLOG = 1_024
 # A caller may pause in a download for this long.
 CALLER_UNACKNOWLEDGED_MS = 30_000
+CALLER_SEND_BUFFER_BYTES = 131_072
 KEEP_ALIVE_S = 75.0
 # Callers keep their connections; the number of requests on one has no bound.
 MAX_REQUESTS_PER_CONNECTION = 1 << 60
@@ -59,6 +60,9 @@
 def prepare(listener: socket.socket) -> None:
     """Sets the options that connections inherit from their listener."""
     sockets.set_liveness_options(listener, CALLER_UNACKNOWLEDGED_MS)
+    listener.setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, CALLER_SEND_BUFFER_BYTES
+    )
 
 
 def configure(
--- a/tests/caller/test_app.py
+++ b/tests/caller/test_app.py
@@ -77,3 +77,20 @@
         answer = await entry.client.put("/map", content=b"x" * 11)
     assertions.assert_that(answer.status_code, matchers.Equals(413))
     assertions.assert_that(upstream.requests, matchers.HasLength(0))
+
+
+@pytest.mark.anyio
+async def test_an_unexpected_error_is_unknown_and_the_process_goes_on():
+    upstream = scripted_upstream.ScriptedUpstream()
+    async with path.running(upstream) as entry:
+        await entry.client.get("/map")
+        entry.route.targets["up-0"] = None
+        broken = await entry.client.get("/map")
+        version = entry.route.version
+        entry.route.update(version, entry.route.service, 16, 1_000.0)
+        after = await entry.client.get("/map")
+    assertions.assert_that(broken.status_code, matchers.Equals(500))
+    assertions.assert_that(
+        broken.headers["lovageyoke-outcome"], matchers.Equals("unknown")
+    )
+    assertions.assert_that(after.text, matchers.Equals("ok"))
--- /dev/null
+++ b/tests/transport/test_sockets.py
@@ -0,0 +1,73 @@
+"""Tests of what is known of written bytes."""
+
+from __future__ import annotations
+
+import socket
+
+import anyio
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from fakes import path
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.transport import sockets
+
+
+@pytest.mark.anyio
+async def test_a_write_to_a_closed_connection_wrote_nothing():
+    own, peer = socket.socketpair()
+    own.setblocking(False)
+    peer.close()
+    with own, pytest.raises(exceptions.UpstreamError) as raised:
+        await sockets.send_all(own, b"request")
+    assertions.assert_that(
+        raised.value.kind, matchers.Is(kinds.ErrorKind.NOTHING_WRITTEN)
+    )
+
+
+@pytest.mark.anyio
+async def test_a_write_that_is_cut_short_has_written_something():
+    own, peer = socket.socketpair()
+    own.setblocking(False)
+
+    async def close_later():
+        await anyio.wait_readable(peer)
+        peer.close()
+
+    kinds_seen = []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(close_later)
+        with own:
+            try:
+                await sockets.send_all(own, bytes(50_000_000))
+            except exceptions.UpstreamError as error:
+                kinds_seen.append(error.kind)
+    assertions.assert_that(
+        kinds_seen, matchers.Equals([kinds.ErrorKind.UPSTREAM_RESET])
+    )
+
+
+@pytest.mark.anyio
+async def test_a_refused_connection_is_known():
+    with pytest.raises(exceptions.UpstreamError) as raised:
+        await sockets.connect("127.0.0.1", path.refused_port())
+    assertions.assert_that(
+        raised.value.kind, matchers.Is(kinds.ErrorKind.CONNECT_FAILED)
+    )
+
+
+def test_bytes_or_a_close_on_an_idle_connection_are_noticed():
+    own, peer = socket.socketpair()
+    own.setblocking(False)
+    with own:
+        quiet = sockets.is_quiet(own)
+        peer.send(b"surplus")
+        surplus = sockets.is_quiet(own)
+        own.recv(100)
+        peer.close()
+        closed = sockets.is_quiet(own)
+    assertions.assert_that(
+        [quiet, surplus, closed], matchers.Equals([True, False, False])
+    )
