--- a/src/lovageyoke/bench/path_hop.py
+++ b/src/lovageyoke/bench/path_hop.py
@@ -13,6 +13,7 @@
 import httpx
 import orjson
 
+from lovageyoke.bench import path_upstream
 from lovageyoke.caller import api as caller_api
 from lovageyoke.caller import app as caller_app
 from lovageyoke.caller import headers
@@ -39,6 +40,7 @@
 
     FIRST = "first"
     CURRENT = "current"
+    SERVER_ONLY = "server-only"
 
 
 class BenchService(caller_api.ServiceDirectory):
@@ -122,6 +124,24 @@
         await send({"type": "http.response.body", "body": b""})
 
 
+async def answer_at_once(
+    scope: caller_api.Scope,
+    receive: caller_api.Receive,
+    send: caller_api.Send,
+) -> None:
+    """Answers without an upstream, which leaves the server library's cost."""
+    body = b"x" * path_upstream.BODY_BYTES
+    length = str(len(body)).encode()
+    await send(
+        {
+            "type": "http.response.start",
+            "status": 200,
+            "headers": [(b"content-length", length)],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
 async def serve(
     version: Version, listener: socket.socket, address: str, port: int
 ) -> None:
@@ -134,8 +154,10 @@
         port: The upstream's port.
     """
     async with anyio.create_task_group() as tasks:
-        app: App = FirstHop(address, port)
-        if version is Version.CURRENT:
+        app: App = answer_at_once
+        if version is Version.FIRST:
+            app = FirstHop(address, port)
+        elif version is Version.CURRENT:
             clock = system.SystemClock()
             transport = pool.PooledTransport(clock, CONNECTIONS)
             tasks.start_soon(transport.run)
--- a/src/lovageyoke/cli/bench_path.py
+++ b/src/lovageyoke/cli/bench_path.py
@@ -15,7 +15,6 @@
 from lovageyoke.bench import path_hop
 from lovageyoke.bench import path_load
 from lovageyoke.bench import path_upstream
-from lovageyoke.caller import server
 from lovageyoke.cli import bench
 from lovageyoke.transport import api
 
@@ -69,17 +68,18 @@
 def bench_hop(
     *,
     upstream_port: Annotated[int, typer.Option(help="Of `bench path`.")],
-    current_port: Annotated[int, typer.Option(help="Of the current hop.")],
-    first_port: Annotated[int, typer.Option(help="Of the first one.")],
+    port: Annotated[int, typer.Option(help="Of the first of the hops.")],
 ) -> None:
     """Run the hops for `bench path --connect` until interrupted.
 
-    Each has a thread of its own. Only one is busy at a time, so that they
-    don't take the interpreter from each other.
+    Each has a thread and a port of its own, in the order printed. Only
+    one is busy at a time, so that they don't take the interpreter from each
+    other.
     """
-    path.start_hop(path_hop.Version.FIRST, upstream_port, first_port)
-    listener = server.listen("127.0.0.1", current_port)
-    path.run_hop(path_hop.Version.CURRENT, listener, upstream_port)
+    for offset, version in enumerate(path_hop.Version):
+        target = path.start_hop(version, upstream_port, port + offset)
+        typer.echo(f"{target.upstream_id}={target.port}")
+    anyio.run(anyio.sleep_forever)
 
 
 def _parse_hop(text: str) -> tuple[str, api.Target]:
