Send whole short answers in one body message

Cause: a short answer that was already read whole was sent through the streaming loop, with another read and an empty last part. Resumptions of one download also forgot the upstreams that earlier ones had tried. Change: head and body in two messages; resumptions share the tried set.

--- a/src/lovageyoke/caller/dispatch.py
+++ b/src/lovageyoke/caller/dispatch.py
@@ -87,7 +87,7 @@
             self._clock.now_ms() + limit_ms,
             marks=call.marks,
         )
-        rest.excluded.update(call.excluded)
+        rest.excluded = call.excluded
         return await self.dispatch(rest)
 
     def _may_retry(
--- a/src/lovageyoke/caller/forward.py
+++ b/src/lovageyoke/caller/forward.py
@@ -35,8 +35,13 @@
             LovageyokeError: No byte of an answer was sent.
         """
         answer = await self._dispatcher.dispatch(call)
+        if answer.is_whole:
+            answer.end_whole()
+            await send_head(answer, send)
+            await send_end(send, answer.start)
+            return
         splice = resume.Splice.of(call.request, answer.head)
-        if splice is None or answer.is_whole:
+        if splice is None:
             await stream(answer, send)
             return
         with _ending(answer):
@@ -136,6 +141,6 @@
     await send({"type": "http.response.body", "body": data, "more_body": True})
 
 
-async def send_end(send: api.Send) -> None:
-    """Ends an answer."""
-    await send({"type": "http.response.body", "body": b""})
+async def send_end(send: api.Send, data: bytes = b"") -> None:
+    """Sends the last part of an answer's body."""
+    await send({"type": "http.response.body", "body": data})
