Create scopes, events and errors only when they are needed

Cause: each request made a cancel scope and an event for a watch and a hedge that seldom start, and two errors that are seldom raised. Change: they are made when the watch or the hedge starts, or time is up.

--- a/src/lovageyoke/caller/race.py
+++ b/src/lovageyoke/caller/race.py
@@ -47,7 +47,7 @@
         self._timers = clockwork
         self._first = anyio.CancelScope()
         self._second: anyio.CancelScope | None = None
-        self._second_ended = anyio.Event()
+        self._second_ended: anyio.Event | None = None
 
     async def run(self, second_due_ms: float) -> attempt_module.Answer:
         """Returns the first answer.
@@ -74,7 +74,7 @@
                 failure = error
             else:
                 return answer
-        if failure is not None and self._second is not None:
+        if failure is not None and self._second_ended is not None:
             await self._second_ended.wait()
         if self.answer is not None:
             answer, self.answer = self.answer, None
@@ -96,6 +96,7 @@
         scope = anyio.CancelScope()
         if self._timers.spawn(scope, self._run_second):
             self._second = scope
+            self._second_ended = anyio.Event()
 
     async def _run_second(self) -> None:
         try:
@@ -109,4 +110,5 @@
             # The first attempt goes on and decides the outcome.
             pass
         finally:
-            self._second_ended.set()
+            if self._second_ended is not None:
+                self._second_ended.set()
--- a/src/lovageyoke/caller/watch.py
+++ b/src/lovageyoke/caller/watch.py
@@ -32,7 +32,7 @@
             yield
         finally:
             timer.cancel()
-            watch.scope.cancel()
+            watch.stop()
 
 
 class _Watch:
@@ -42,13 +42,18 @@
         block: anyio.CancelScope,
         clockwork: timers.Timers,
     ) -> None:
-        self.scope = anyio.CancelScope()
+        self._scope: anyio.CancelScope | None = None
         self._receive = receive
         self._block = block
         self._timers = clockwork
 
     def start(self) -> None:
-        self._timers.spawn(self.scope, self._run)
+        self._scope = anyio.CancelScope()
+        self._timers.spawn(self._scope, self._run)
+
+    def stop(self) -> None:
+        if self._scope is not None:
+            self._scope.cancel()
 
     async def _run(self) -> None:
         message = await self._receive()
--- a/src/lovageyoke/transport/pool.py
+++ b/src/lovageyoke/transport/pool.py
@@ -28,6 +28,29 @@
 CONNECTION_SHARE = 15
 
 
+@attrs.frozen
+class Lateness:
+    """What an operation that is late is reported as.
+
+    Attributes:
+        kind: The error kind.
+        detail: Description for people.
+    """
+
+    kind: kinds.ErrorKind
+    detail: str
+
+
+_OPENED_LATE = Lateness(
+    Kind.CONNECT_FAILED, "the connection was not opened in time"
+)
+_ANSWERED_LATE = Lateness(
+    Kind.DEADLINE_AFTER_DISPATCH, "no response before the deadline"
+)
+_SILENT = Lateness(Kind.UPSTREAM_SILENT, "the connection shows no sign of life")
+_STALLED = Lateness(Kind.UPSTREAM_SILENT, "the response stalled")
+
+
 @attrs.define
 class TargetState:
     """Connections to one upstream.
@@ -126,10 +149,7 @@
             sock = await self.before(
                 limit_ms,
                 sockets.connect(target.address, target.port),
-                exceptions.UpstreamError(
-                    "the connection was not opened in time",
-                    Kind.CONNECT_FAILED,
-                ),
+                _OPENED_LATE,
             )
         finally:
             state.opening -= 1
@@ -153,18 +173,14 @@
     ) -> api.ResponseHead:
         start_ms = self._clock.now_ms()
         limit_ms = deadline_ms
-        error = exceptions.UpstreamError(
-            "no response before the deadline", Kind.DEADLINE_AFTER_DISPATCH
-        )
+        lateness = _ANSWERED_LATE
         silent_ms = start_ms + state.estimate.silence_bound_ms()
         if request.repeatable and silent_ms < deadline_ms:
             limit_ms = silent_ms
-            error = exceptions.UpstreamError(
-                "the connection shows no sign of life", Kind.UPSTREAM_SILENT
-            )
+            lateness = _SILENT
         try:
             head = await self.before(
-                limit_ms, _send_and_read_head(connection, request), error
+                limit_ms, _send_and_read_head(connection, request), lateness
             )
         except exceptions.UpstreamError as raised:
             if raised.kind is Kind.UPSTREAM_SILENT:
@@ -183,16 +199,16 @@
         self,
         limit_ms: float,
         operation: Awaitable[T],
-        error: exceptions.LovageyokeError,
+        lateness: Lateness,
     ) -> T:
-        """Returns the operation's result; raises ``error`` at the limit."""
+        """Returns the operation's result; raises an error at the limit."""
         with anyio.CancelScope() as scope:
             timer = self.timers.call_at(limit_ms, scope.cancel)
             try:
                 return await operation
             finally:
                 timer.cancel()
-        raise error
+        raise exceptions.UpstreamError(lateness.detail, lateness.kind)
 
     def idle_connections(self) -> int:
         """Returns the number of idle connections."""
@@ -246,9 +262,7 @@
             data = await self._transport.before(
                 self._transport.now_ms() + BODY_SILENCE_MS,
                 self._connection.read_body(),
-                exceptions.UpstreamError(
-                    "the response stalled", Kind.UPSTREAM_SILENT
-                ),
+                _STALLED,
             )
         if not data:
             self.close()
