Let requests outlive the removal of their service

Cause: the end of a request whose service was removed meanwhile set the capacity of a service that admission no longer knew, a KeyError that turned the caller's answer into 500. Change: a removed route publishes no capacity. Measured: the new test fails before and passes after. Conclusion: requests in flight end as they would have.

--- a/src/lovageyoke/caller/routes.py
+++ b/src/lovageyoke/caller/routes.py
@@ -31,6 +31,7 @@
         limits: Requests that each upstream may hold.
         targets: Socket address of each upstream.
         drained: Upstreams that take no new work.
+        is_removed: Whether the service was removed; requests in flight go on.
     """
 
     version: int
@@ -44,6 +45,7 @@
     )
     targets: dict[str, transport_api.Target] = attrs.field(factory=dict)
     drained: set[str] = attrs.field(factory=set)
+    is_removed: bool = False
 
     def update(
         self, version: int, service: model.Service, entries: int, now_ms: float
@@ -125,6 +127,8 @@
         self._publish_capacity()
 
     def _publish_capacity(self) -> None:
+        if self.is_removed:
+            return
         usable = self.targets.keys() - self.drained
         self.admission.set_capacity(
             self.service.name, self.limits.capacity(usable)
@@ -167,7 +171,9 @@
 
     def remove(self, name: str) -> None:
         """Forgets a service that was removed."""
-        if self.by_name.pop(name, None) is not None:
+        route = self.by_name.pop(name, None)
+        if route is not None:
+            route.is_removed = True
             self._admission.remove_service(name)
 
     def set_entries(self, entries: int) -> None:
--- a/tests/caller/test_limits.py
+++ b/tests/caller/test_limits.py
@@ -108,3 +108,22 @@
         answers[0].headers["lovageyoke-outcome"], matchers.Equals("not-run")
     )
     assertions.assert_that(upstream.requests, matchers.HasLength(2))
+
+
+@pytest.mark.anyio
+async def test_a_request_in_flight_outlives_the_removal_of_its_service():
+    async def script(peer):
+        await peer.request()
+        entry.app.routes.remove("booking")
+        await peer.send(
+            b"HTTP/1.1 503 Shed\r\nlovageyoke-shed: 1\r\n"
+            b"content-length: 0\r\n\r\n"
+        )
+
+    upstream = scripted_upstream.ScriptedUpstream(script)
+    async with path.running(upstream) as entry:
+        answer = await entry.client.post("/once")
+    assertions.assert_that(answer.status_code, matchers.Equals(503))
+    assertions.assert_that(
+        answer.headers["lovageyoke-outcome"], matchers.Equals("not-run")
+    )
