Settle the claim of a request that ends in an unexpected error

Cause: its claim stayed in progress for good, so that repeats were told to wait for nothing. Change: the claim is completed without an answer. Conclusion: repeats are told that the outcome is unknown.

--- a/src/lovageyoke/caller/claimed.py
+++ b/src/lovageyoke/caller/claimed.py
@@ -65,6 +65,9 @@
         except exceptions.LovageyokeError as error:
             await self._settle(call, claim, error)
             raise
+        except Exception:
+            await self._complete(claim, None)
+            raise
         if answer.is_whole:
             answer.end_whole()
             await self._complete_and_send(claim, _stored(answer), send)
--- a/tests/caller/test_app.py
+++ b/tests/caller/test_app.py
@@ -94,3 +94,19 @@
         broken.headers["lovageyoke-outcome"], matchers.Equals("unknown")
     )
     assertions.assert_that(after.text, matchers.Equals("ok"))
+
+
+@pytest.mark.anyio
+async def test_a_claim_is_settled_after_an_unexpected_error():
+    upstream = scripted_upstream.ScriptedUpstream()
+    headers = {"idempotency-key": "pitch-7"}
+    async with path.running(upstream) as entry:
+        await entry.client.get("/map")
+        entry.route.targets["up-0"] = None
+        broken = await entry.client.post("/bookings", headers=headers)
+        again = await entry.client.post("/bookings", headers=headers)
+    assertions.assert_that(broken.status_code, matchers.Equals(500))
+    assertions.assert_that(
+        again.json()["type"],
+        matchers.EndsWith("duplicate-outcome-unknown"),
+    )
