Name timers, timeouts and retired connections by their usual terms

Cause: clockwork, lateness and condemned are not what the field says, and the bench sent one answer in two copies of the same code. Change: names, and one function. Conclusion: no change of behaviour.

--- a/src/lovageyoke/bench/path_hop.py
+++ b/src/lovageyoke/bench/path_hop.py
@@ -130,7 +130,10 @@
     send: caller_api.Send,
 ) -> None:
     """Answers without an upstream, which leaves the server library's cost."""
-    body = b"x" * path_upstream.BODY_BYTES
+    await _send_answer(b"x" * path_upstream.BODY_BYTES, send)
+
+
+async def _send_answer(body: bytes, send: caller_api.Send) -> None:
     length = str(len(body)).encode()
     await send(
         {
@@ -192,14 +195,6 @@
         body = orjson.dumps(
             {"cpu_ms": (used.ru_utime + used.ru_stime) * MS_PER_SECOND}
         )
-        length = str(len(body)).encode()
-        await send(
-            {
-                "type": "http.response.start",
-                "status": 200,
-                "headers": [(b"content-length", length)],
-            }
-        )
-        await send({"type": "http.response.body", "body": body})
+        await _send_answer(body, send)
 
     return answer
--- a/src/lovageyoke/caller/body.py
+++ b/src/lovageyoke/caller/body.py
@@ -27,7 +27,7 @@
 
 async def read_before(
     limit_ms: float,
-    clockwork: timers.Timers,
+    timer_queue: timers.Timers,
     receive: api.Receive,
     most_bytes: int,
 ) -> bytes:
@@ -38,7 +38,7 @@
             DEADLINE_BEFORE_DISPATCH.
     """
     with anyio.CancelScope() as scope:
-        timer = clockwork.call_at(limit_ms, scope.cancel)
+        timer = timer_queue.call_at(limit_ms, scope.cancel)
         try:
             return await read(receive, most_bytes)
         finally:
--- a/src/lovageyoke/caller/intake.py
+++ b/src/lovageyoke/caller/intake.py
@@ -37,12 +37,12 @@
         services: api.ServiceDirectory,
         routes_: routes.Routes,
         clock: clock_api.Clock,
-        clockwork: timers.Timers,
+        timer_queue: timers.Timers,
     ) -> None:
         self._services = services
         self._routes = routes_
         self._clock = clock
-        self._timers = clockwork
+        self._timers = timer_queue
 
     async def read(
         self, scope: api.Scope, receive: api.Receive
--- a/src/lovageyoke/caller/race.py
+++ b/src/lovageyoke/caller/race.py
@@ -37,14 +37,14 @@
         attempter: Attempter,
         call: call_module.Call,
         clock: clock_api.Clock,
-        clockwork: timers.Timers,
+        timer_queue: timers.Timers,
     ) -> None:
         self.settled = False
         self.answer: attempt_module.Answer | None = None
         self._attempter = attempter
         self._call = call
         self._clock = clock
-        self._timers = clockwork
+        self._timers = timer_queue
         self._first = anyio.CancelScope()
         self._second: anyio.CancelScope | None = None
         self._second_ended: anyio.Event | None = None
--- a/src/lovageyoke/caller/watch.py
+++ b/src/lovageyoke/caller/watch.py
@@ -16,18 +16,18 @@
 
 @contextlib.contextmanager
 def cancelled_when_gone(
-    receive: api.Receive, clockwork: timers.Timers, now_ms: float
+    receive: api.Receive, timer_queue: timers.Timers, now_ms: float
 ) -> Iterator[None]:
     """Cancels the block when the caller leaves.
 
     Args:
         receive: The ASGI receive function; the body was read.
-        clockwork: Starts the watch.
+        timer_queue: Starts the watch.
         now_ms: The present time in milliseconds.
     """
     with anyio.CancelScope() as block:
-        watch = _Watch(receive, block, clockwork)
-        timer = clockwork.call_at(now_ms + WATCH_DELAY_MS, watch.start)
+        watch = _Watch(receive, block, timer_queue)
+        timer = timer_queue.call_at(now_ms + WATCH_DELAY_MS, watch.start)
         try:
             yield
         finally:
@@ -40,12 +40,12 @@
         self,
         receive: api.Receive,
         block: anyio.CancelScope,
-        clockwork: timers.Timers,
+        timer_queue: timers.Timers,
     ) -> None:
         self._scope: anyio.CancelScope | None = None
         self._receive = receive
         self._block = block
-        self._timers = clockwork
+        self._timers = timer_queue
 
     def start(self) -> None:
         self._scope = anyio.CancelScope()
--- a/src/lovageyoke/transport/h11_connection.py
+++ b/src/lovageyoke/transport/h11_connection.py
@@ -27,7 +27,7 @@
         sock: Its socket.
         opened_ms: When it was opened.
         last_heard_ms: When the last byte arrived, or when it was opened.
-        condemned: Whether it must not be used for another exchange.
+        retired: Whether it must not be used for another exchange.
     """
 
     def __init__(
@@ -37,7 +37,7 @@
         self.sock = sock
         self.opened_ms = now_ms
         self.last_heard_ms = now_ms
-        self.condemned = False
+        self.retired = False
         self._method = b""
         self._state = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -167,7 +167,7 @@
         Returns:
             Whether the connection may be used again.
         """
-        if self.condemned or self._state.trailing_data[0]:
+        if self.retired or self._state.trailing_data[0]:
             return False
         done = h11.DONE
         if self._state.our_state is not done:
@@ -184,5 +184,5 @@
 
     def close(self) -> None:
         """Closes the socket."""
-        self.condemned = True
+        self.retired = True
         self.sock.close()
--- a/src/lovageyoke/transport/pool.py
+++ b/src/lovageyoke/transport/pool.py
@@ -29,7 +29,7 @@
 
 
 @attrs.frozen
-class Lateness:
+class Timeout:
     """What an operation that is late is reported as.
 
     Attributes:
@@ -41,14 +41,16 @@
     detail: str
 
 
-_OPENED_LATE = Lateness(
+_CONNECT_TIMEOUT = Timeout(
     Kind.CONNECT_FAILED, "the connection was not opened in time"
 )
-_ANSWERED_LATE = Lateness(
+_RESPONSE_TIMEOUT = Timeout(
     Kind.DEADLINE_AFTER_DISPATCH, "no response before the deadline"
 )
-_SILENT = Lateness(Kind.UPSTREAM_SILENT, "the connection shows no sign of life")
-_STALLED = Lateness(Kind.UPSTREAM_SILENT, "the response stalled")
+_SILENCE_TIMEOUT = Timeout(
+    Kind.UPSTREAM_SILENT, "the connection shows no sign of life"
+)
+_BODY_TIMEOUT = Timeout(Kind.UPSTREAM_SILENT, "the response stalled")
 
 
 @attrs.define
@@ -149,7 +151,7 @@
             sock = await self.before(
                 limit_ms,
                 sockets.connect(target.address, target.port),
-                _OPENED_LATE,
+                _CONNECT_TIMEOUT,
             )
         finally:
             state.opening -= 1
@@ -173,33 +175,33 @@
     ) -> api.ResponseHead:
         start_ms = self._clock.now_ms()
         limit_ms = deadline_ms
-        lateness = _ANSWERED_LATE
+        timeout = _RESPONSE_TIMEOUT
         silent_ms = start_ms + state.estimate.silence_bound_ms()
         if request.repeatable and silent_ms < deadline_ms:
             limit_ms = silent_ms
-            lateness = _SILENT
+            timeout = _SILENCE_TIMEOUT
         try:
             head = await self.before(
-                limit_ms, _send_and_read_head(connection, request), lateness
+                limit_ms, _send_and_read_head(connection, request), timeout
             )
         except exceptions.UpstreamError as raised:
             if raised.kind is Kind.UPSTREAM_SILENT:
-                self._condemn(state)
+                self._retire_all(state)
             raise
         state.estimate.add(self._clock.now_ms() - start_ms)
         return head
 
-    def _condemn(self, state: TargetState) -> None:
+    def _retire_all(self, state: TargetState) -> None:
         while state.idle:
             state.idle.pop().close()
         for connection in state.in_use:
-            connection.condemned = True
+            connection.retired = True
 
     async def before(
         self,
         limit_ms: float,
         operation: Awaitable[T],
-        lateness: Lateness,
+        timeout: Timeout,
     ) -> T:
         """Returns the operation's result; raises an error at the limit."""
         with anyio.CancelScope() as scope:
@@ -208,7 +210,7 @@
                 return await operation
             finally:
                 timer.cancel()
-        raise exceptions.UpstreamError(lateness.detail, lateness.kind)
+        raise exceptions.UpstreamError(timeout.detail, timeout.kind)
 
     def idle_connections(self) -> int:
         """Returns the number of idle connections."""
@@ -262,7 +264,7 @@
             data = await self._transport.before(
                 self._transport.now_ms() + BODY_SILENCE_MS,
                 self._connection.read_body(),
-                _STALLED,
+                _BODY_TIMEOUT,
             )
         if not data:
             self.close()
--- a/tests/transport/test_pool.py
+++ b/tests/transport/test_pool.py
@@ -111,7 +111,7 @@
 
 
 @pytest.mark.anyio
-async def test_a_silent_connection_condemns_its_siblings(clock):
+async def test_a_silent_connection_retires_its_siblings(clock):
     async def once(peer):
         await peer.request()
         await peer.send(scripted_upstream.OK)
--- a/tests/transport/test_timers.py
+++ b/tests/transport/test_timers.py
@@ -24,7 +24,7 @@
 
 async def _run(plans, steps):
     clock = manual.ManualClock()
-    clockwork = timers.Timers(clock)
+    timer_queue = timers.Timers(clock)
     called = []
 
     def note(due):
@@ -32,9 +32,9 @@
         called.append(due)
 
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(clockwork.run)
+        tasks.start_soon(timer_queue.run)
         for due, kept in plans:
-            timer = clockwork.call_at(due, lambda due=due: note(due))
+            timer = timer_queue.call_at(due, lambda due=due: note(due))
             if not kept:
                 timer.cancel()
         for step in (0, *steps):
