--- a/src/lovageyoke/transport/h11_connection.py
+++ b/src/lovageyoke/transport/h11_connection.py
@@ -27,7 +27,7 @@
         sock: Its socket.
         opened_ms: When it was opened.
         last_heard_ms: When the last byte arrived, or when it was opened.
-        condemned: Whether it must not be used for another exchange.
+        retired: Whether it must not be used for another exchange.
     """
 
     def __init__(
@@ -37,7 +37,7 @@
         self.sock = sock
         self.opened_ms = now_ms
         self.last_heard_ms = now_ms
-        self.condemned = False
+        self.retired = False
         self._method = b""
         self._state = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -106,38 +106,60 @@
     async def read_body(self) -> bytes:
         """Returns the next part of the body, b"" at its end.
 
+        Raises:
+            UpstreamError: Kind RESPONSE_TRUNCATED.
+        """
+        part = self.buffered_body()
+        while part is None:
+            await self._receive(Kind.RESPONSE_TRUNCATED)
+            part = self.buffered_body()
+        return part
+
+    def buffered_body(self) -> bytes | None:
+        """Returns the next part of the body if it has already come.
+
+        Returns:
+            The part, b"" at the body's end, None when bytes are missing.
+
         Raises:
             UpstreamError: Kind RESPONSE_TRUNCATED.
         """
         while True:
-            event = await self._next_event(Kind.RESPONSE_TRUNCATED)
-            if isinstance(event, h11.Data):
-                if event.data:
-                    return bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
+            event = self._parse(Kind.RESPONSE_TRUNCATED)
+            if event is h11.NEED_DATA:
+                return None
+            if isinstance(event, h11.EndOfMessage):
                 return b""
-            else:
+            if not isinstance(event, h11.Data):
                 raise exceptions.UpstreamError(
                     "the connection closed inside a response",
                     Kind.RESPONSE_TRUNCATED,
                 )
+            if event.data:
+                return bytes(event.data)
 
     async def _next_event(self, lost: kinds.ErrorKind) -> h11.Event | type:
+        event = self._parse(lost)
+        while event is h11.NEED_DATA:
+            await self._receive(lost)
+            event = self._parse(lost)
+        return event
+
+    def _parse(self, lost: kinds.ErrorKind) -> h11.Event | type:
         try:
-            event = self._state.next_event()
-            while event is h11.NEED_DATA:
-                self._state.receive_data(await sockets.receive(self.sock))
-                event = self._state.next_event()
+            return self._state.next_event()
         except h11.RemoteProtocolError as error:
-            kind = Kind.UPSTREAM_PROTOCOL
-            if self._state.trailing_data[1]:
-                kind = lost
+            ended = self._state.trailing_data[1]
+            kind = lost if ended else Kind.UPSTREAM_PROTOCOL
             raise exceptions.UpstreamError(str(error), kind) from error
+
+    async def _receive(self, lost: kinds.ErrorKind) -> None:
+        try:
+            self._state.receive_data(await sockets.receive(self.sock))
         except OSError as error:
             raise exceptions.UpstreamError(
                 f"read failed: {error.strerror}", lost
             ) from error
-        return event
 
     def recycle(self, now_ms: float) -> bool:
         """Prepares for another exchange.
@@ -145,7 +167,7 @@
         Returns:
             Whether the connection may be used again.
         """
-        if self.condemned or self._state.trailing_data[0]:
+        if self.retired or self._state.trailing_data[0]:
             return False
         done = h11.DONE
         if self._state.our_state is not done:
@@ -162,5 +184,5 @@
 
     def close(self) -> None:
         """Closes the socket."""
-        self.condemned = True
+        self.retired = True
         self.sock.close()
