--- a/src/lovageyoke/transport/pool.py
+++ b/src/lovageyoke/transport/pool.py
@@ -28,6 +28,31 @@
 CONNECTION_SHARE = 15
 
 
+@attrs.frozen
+class Timeout:
+    """What an operation that is late is reported as.
+
+    Attributes:
+        kind: The error kind.
+        detail: Description for people.
+    """
+
+    kind: kinds.ErrorKind
+    detail: str
+
+
+_CONNECT_TIMEOUT = Timeout(
+    Kind.CONNECT_FAILED, "the connection was not opened in time"
+)
+_RESPONSE_TIMEOUT = Timeout(
+    Kind.DEADLINE_AFTER_DISPATCH, "no response before the deadline"
+)
+_SILENCE_TIMEOUT = Timeout(
+    Kind.UPSTREAM_SILENT, "the connection shows no sign of life"
+)
+_BODY_TIMEOUT = Timeout(Kind.UPSTREAM_SILENT, "the response stalled")
+
+
 @attrs.define
 class TargetState:
     """Connections to one upstream.
@@ -126,10 +151,7 @@
             sock = await self.before(
                 limit_ms,
                 sockets.connect(target.address, target.port),
-                exceptions.UpstreamError(
-                    "the connection was not opened in time",
-                    Kind.CONNECT_FAILED,
-                ),
+                _CONNECT_TIMEOUT,
             )
         finally:
             state.opening -= 1
@@ -153,46 +175,42 @@
     ) -> api.ResponseHead:
         start_ms = self._clock.now_ms()
         limit_ms = deadline_ms
-        error = exceptions.UpstreamError(
-            "no response before the deadline", Kind.DEADLINE_AFTER_DISPATCH
-        )
+        timeout = _RESPONSE_TIMEOUT
         silent_ms = start_ms + state.estimate.silence_bound_ms()
         if request.repeatable and silent_ms < deadline_ms:
             limit_ms = silent_ms
-            error = exceptions.UpstreamError(
-                "the connection shows no sign of life", Kind.UPSTREAM_SILENT
-            )
+            timeout = _SILENCE_TIMEOUT
         try:
             head = await self.before(
-                limit_ms, _send_and_read_head(connection, request), error
+                limit_ms, _send_and_read_head(connection, request), timeout
             )
         except exceptions.UpstreamError as raised:
             if raised.kind is Kind.UPSTREAM_SILENT:
-                self._condemn(state)
+                self._retire_all(state)
             raise
         state.estimate.add(self._clock.now_ms() - start_ms)
         return head
 
-    def _condemn(self, state: TargetState) -> None:
+    def _retire_all(self, state: TargetState) -> None:
         while state.idle:
             state.idle.pop().close()
         for connection in state.in_use:
-            connection.condemned = True
+            connection.retired = True
 
     async def before(
         self,
         limit_ms: float,
         operation: Awaitable[T],
-        error: exceptions.LovageyokeError,
+        timeout: Timeout,
     ) -> T:
-        """Returns the operation's result; raises ``error`` at the limit."""
+        """Returns the operation's result; raises an error at the limit."""
         with anyio.CancelScope() as scope:
             timer = self.timers.call_at(limit_ms, scope.cancel)
             try:
                 return await operation
             finally:
                 timer.cancel()
-        raise error
+        raise exceptions.UpstreamError(timeout.detail, timeout.kind)
 
     def idle_connections(self) -> int:
         """Returns the number of idle connections."""
@@ -241,14 +259,13 @@
         """Returns the next part of the response body, b"" at its end."""
         if self._connection is None:
             return b""
-        limit_ms = self._transport.now_ms() + BODY_SILENCE_MS
-        data = await self._transport.before(
-            limit_ms,
-            self._connection.read_body(),
-            exceptions.UpstreamError(
-                "the response stalled", Kind.UPSTREAM_SILENT
-            ),
-        )
+        data = self._connection.buffered_body()
+        if data is None:
+            data = await self._transport.before(
+                self._transport.now_ms() + BODY_SILENCE_MS,
+                self._connection.read_body(),
+                _BODY_TIMEOUT,
+            )
         if not data:
             self.close()
         return data
