--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -9,6 +9,7 @@
 from lovageyoke.cli import audit
 from lovageyoke.cli import bench_claims
 from lovageyoke.cli import bench_membership
+from lovageyoke.cli import bench_path
 from lovageyoke.cli import bench_policy
 from lovageyoke.cli import bench_probe_curve
 from lovageyoke.cli import bench_propagation
@@ -30,6 +31,7 @@
 COMMANDS = (
     addresses,
     audit,
+    bench_path,
     bench_claims,
     bench_membership,
     bench_policy,
