Append nothing to a log that a later owner has sealed

Cause: an owner that was overtaken between writing the head and reading the ring loaded the later owner's seal, then appended its own segment of a lower epoch after it. The write succeeded, since the slot was free, and every owner that read it failed with "segment 2 of epoch 2 after 1 of epoch 3". Change: loading gives up as fenced at a segment above its own epoch. Before: the new test fails with that ValueError. After: it passes, and the slot after the seal stays empty.

--- a/src/lovageyoke/idempotency/open_log.py
+++ b/src/lovageyoke/idempotency/open_log.py
@@ -278,7 +278,11 @@
             tasks.start_soon(read_slot, slot)
     log.state.load(log.head, (runs[each] for each in range(len(refs))))
     while log.state.applied + 1 in segments:
-        log.state.apply(segments[log.state.applied + 1])
+        segment = segments[log.state.applied + 1]
+        if segment.epoch > log.head.epoch:
+            # A later owner has sealed the log; nothing may follow its seal.
+            raise fenced.FencedError(None)
+        log.state.apply(segment)
 
 
 def _follow(log: OpenLog, error: fenced.FencedError) -> None:
--- /dev/null
+++ b/tests/idempotency/test_open_log.py
@@ -0,0 +1,80 @@
+"""Tests of taking over a shard's log."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from lovageyoke.idempotency import budget
+from lovageyoke.idempotency import fenced
+from lovageyoke.idempotency import open_log
+from lovageyoke.idempotency import records
+from lovageyoke.platform import fake
+from lovageyoke.platform import store as platform_store
+
+SHARD = 0
+SHARDS = 1
+
+
+class OvertakenPlatform(fake.FakePlatform):
+    """Lets another entry take over just after this one wrote the head."""
+
+    overtake = None
+
+    async def create(self, key, value, lease_id=None):
+        record = await super().create(key, value, lease_id)
+        if key == records.head_key(SHARD):
+            await self.overtake()
+        return record
+
+
+@pytest.fixture
+def state():
+    return platform_store.PlatformStore()
+
+
+@pytest.fixture
+def open_as(clock):
+    async def open_as(platform, entry_id):
+        def make_store():
+            rng = random.Random(entry_id)  # noqa: S311
+            bucket = budget.WriteBudget(1_000.0, 100.0)
+            return fenced.FencedStore(platform, clock, rng, bucket)
+
+        return await open_log.open_log(
+            SHARD, SHARDS, entry_id, make_store(), make_store()
+        )
+
+    return open_as
+
+
+async def test_an_overtaken_owner_appends_nothing(
+    clock, state, open_as, anyio_backend
+):
+    slow = OvertakenPlatform(state, clock)
+    fast = fake.FakePlatform(state, clock)
+
+    async def overtake():
+        await open_as(fast, "entry-2")
+
+    slow.overtake = overtake
+    with pytest.raises(fenced.FencedError):
+        await open_as(slow, "entry-1")
+    sealed = state.get(records.segment_key(SHARD, 1), clock.now_ms())
+    following = state.get(records.segment_key(SHARD, 2), clock.now_ms())
+    segment = records.decode(sealed.value, records.Segment)
+    assertions.assert_that(segment.writer, matchers.Equals("entry-2"))
+    assertions.assert_that(following, matchers.Is(None))
+
+
+async def test_the_next_owner_follows_the_seal(
+    clock, state, open_as, anyio_backend
+):
+    platform = fake.FakePlatform(state, clock)
+    await open_as(platform, "entry-1")
+    log = await open_as(platform, "entry-2")
+    assertions.assert_that(log.state.applied, matchers.Equals(2))
+    assertions.assert_that(log.state.epoch, matchers.Equals(2))
