Feed the fleet's size and digests to routing, configuration and claims

Cause: the entry process passed digests by a class of its own, never told routing how many entries share the upstreams, and cut off completions that were being delivered when it stopped. Change: the follower's own heartbeat provider, the channel's resolver, the fleet's size for limits and connection shares, draining of the claim log at a stop, and TLS for operators.

--- a/src/lovageyoke/entry/peers.py
+++ b/src/lovageyoke/entry/peers.py
@@ -6,11 +6,9 @@
 import socket
 
 from lovageyoke.clock import api as clock_api
-from lovageyoke.config import follower as config_follower
 from lovageyoke.config import spread as config_spread
 from lovageyoke.idempotency import messages as claim_messages
 from lovageyoke.membership import messages as membership_messages
-from lovageyoke.membership import spread
 from lovageyoke.peer import codec
 from lovageyoke.peer import websocket
 from lovageyoke.security import tls
@@ -25,29 +23,6 @@
 )
 
 
-class ConfigDigests(spread.Spread):
-    """Carries the digest of the configuration in heartbeats.
-
-    Attributes:
-        follower: Gives and takes digests; None until it exists.
-    """
-
-    name = "c"
-
-    def __init__(self) -> None:
-        self.follower: config_follower.ConfigFollower | None = None
-
-    def payload(self, now_ms: float) -> bytes:
-        """Returns the digest of this entry's configuration."""
-        return b"" if self.follower is None else self.follower.digest()
-
-    def receive(self, entry_id: str, payload: bytes, now_ms: float) -> bool:
-        """Notes the digest of another entry's configuration."""
-        if self.follower is not None:
-            self.follower.digest_seen(entry_id, payload)
-        return False
-
-
 def create_channel(
     settings: model.Settings,
     listener: socket.socket,
--- a/src/lovageyoke/entry/process.py
+++ b/src/lovageyoke/entry/process.py
@@ -11,6 +11,8 @@
 from lovageyoke.caller import server as caller_server
 from lovageyoke.clock import api as clock_api
 from lovageyoke.config import follower as config_follower
+from lovageyoke.config import heartbeat
+from lovageyoke.config import model as model_config
 from lovageyoke.config import store as config_store
 from lovageyoke.config import view as config_view
 from lovageyoke.entry import drains
@@ -26,6 +28,7 @@
 from lovageyoke.idempotency import shards as claim_shards
 from lovageyoke.limits import admission
 from lovageyoke.limits import control
+from lovageyoke.limits import upstream
 from lovageyoke.membership import drains as drains_lib
 from lovageyoke.membership import incarnation
 from lovageyoke.membership import messages
@@ -35,6 +38,7 @@
 from lovageyoke.operator import app as operator_app
 from lovageyoke.platform import api as platform_api
 from lovageyoke.probing import prober as prober_lib
+from lovageyoke.security import tls
 from lovageyoke.serving import hosting
 from lovageyoke.settings import model
 from lovageyoke.supervisor import child
@@ -43,7 +47,7 @@
 
 MS_PER_SECOND = 1_000
 STOP_MARGIN_MS = 1_000
-LOAD_INTERVAL_MS = 500.0
+FLEET_INTERVAL_MS = 500.0
 
 
 class EntryProcess:
@@ -73,7 +77,8 @@
         self.channel = peers.create_channel(
             settings, self.listeners.peer, clock, rng
         )
-        self._digests = peers.ConfigDigests()
+        self.view = config_view.ConfigView()
+        self._heartbeat = heartbeat.ConfigHeartbeat(self.view)
         self._drains = drains_lib.Drains()
         self.membership = task.MembershipTask(
             self._own_record(rng),
@@ -82,16 +87,15 @@
             links=task.Links(self.channel.set_address, self.channel.remove),
             clock=clock,
             rng=rng,
-            spreads=(self._digests, self._drains),
+            spreads=(self._heartbeat, self._drains),
             contacts=peers.contacts(settings),
         )
+        self.channel.resolve = self.membership.address_of
         self.book = answer.AddressBook(
             self.membership.view, settings.limits.address_lifetime_ms
         )
-        self.view = config_view.ConfigView()
         self.store = config_store.ConfigStore(platform, clock, rng)
         self.follower = self._create_follower(platform, rng)
-        self._digests.follower = self.follower
         self.claims = claim_service.create(
             platform,
             self.membership.view,
@@ -128,6 +132,7 @@
             self.view, self.app.routes, self.prober, probe
         )
         self.operator_app = self._create_operator_app()
+        self._claims_drained = anyio.Event()
         self._stop_callers = anyio.Event()
         self._stop_operators = anyio.Event()
         self.supervisor = tree.Supervisor(
@@ -158,12 +163,12 @@
                 restart=never,
             ),
             child.Child("configuration", self.follower.run),
-            child.Child("claims", self.claims.run),
+            child.Child("claims", self._run_claims, stop=self._drain_claims),
             child.Child("transport", self.transport.run),
             child.Child("services", self.keeper.run),
             child.Child("drains", self.drains.run),
             child.Child("prober", self.prober.run),
-            child.Child("load", self._report_load),
+            child.Child("fleet", self._follow_fleet),
             child.Child(
                 "operators",
                 self._serve_operators,
@@ -184,13 +189,29 @@
         lifetime_ms = limits.address_lifetime_ms
         return answer.linger_ms(lifetime_ms) + limits.shutdown_ms
 
-    async def _report_load(self) -> None:
-        """Tells the other entries how busy this one is."""
+    async def _run_claims(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.claims.run)
+            await self._claims_drained.wait()
+            tasks.cancel_scope.cancel()
+
+    async def _drain_claims(self) -> None:
+        await self.claims.drain()
+        self._claims_drained.set()
+
+    async def _follow_fleet(self) -> None:
+        """Tells others this entry's load, and routing how many they are."""
         most = self.settings.limits.max_in_flight
         while True:
             in_use = self.app.admission.control.in_use
             self.membership.state.load = min(100, 100 * in_use // most)
-            await self.clock.sleep_ms(LOAD_INTERVAL_MS)
+            entries = len(self.membership.view.members())
+            if entries != self.app.routes.entries:
+                self.app.routes.set_entries(entries)
+                self.transport.connection_share = upstream.connection_share(
+                    model_config.DEFAULT_CONNECTIONS, entries
+                )
+            await self.clock.sleep_ms(FLEET_INTERVAL_MS)
 
     async def _leave(self) -> None:
         """Withdraws the addresses, serves for their lifetime, then stops."""
@@ -224,6 +245,7 @@
             clock=self.clock,
             generator=rng,
             channel=self.channel,
+            digests=self._heartbeat.digests,
             calls_per_s=self.settings.platform.calls_per_s,
         )
 
@@ -243,15 +265,18 @@
 
     async def _serve_operators(self) -> None:
         await hosting.serve(
-            self.operator_app, self.listeners.operator, self._stop_operators
+            self.operator_app,
+            self.listeners.operator,
+            self._stop_operators,
+            tls.server_context(self.settings.tls.operator, "tls.operator"),
         )
 
     async def _serve_callers(self) -> None:
-        tls = self.settings.tls.caller
+        caller_tls = self.settings.tls.caller
         options = caller_server.ServerOptions(
             graceful_s=self.settings.limits.shutdown_ms / MS_PER_SECOND,
-            certificate=tls.certificate,
-            key=tls.key,
+            certificate=caller_tls.certificate,
+            key=caller_tls.key,
         )
         await caller_server.serve(
             self.front, self.listeners.caller, self._stop_callers.wait, options
