Apply a segment that was read late before appending over it

Cause: a new owner reads the ring's slots at different moments. When the old owner appended two segments in between, the new one saw the second without the first, followed the first by its conflict, and then replaced the second by its own seal, since it knew that slot's revision. A claim granted in the second segment was lost, so it could have run twice. Ruled out: the fence of the head, which holds by design only for the next segment. Change: segments that were read are applied as soon as they come next, also after a followed conflict, before anything is appended. Before: the new test finds the old owner's segment replaced. After: it is kept and the seal follows it.

--- a/src/lovageyoke/idempotency/open_log.py
+++ b/src/lovageyoke/idempotency/open_log.py
@@ -195,8 +195,9 @@
     """
     log = await _fence_head(shard, shard_count, entry_id, store)
     log.snapshot_store = snapshot_store
-    await _load(log)
+    segments = await _load(log)
     while True:
+        _apply_read(log, segments)
         if not log.has_room():
             # An earlier owner can't append either, so the log is complete.
             await log.checkpoint()
@@ -255,7 +256,8 @@
     )
 
 
-async def _load(log: OpenLog) -> None:
+async def _load(log: OpenLog) -> dict[int, records.Segment]:
+    """Loads the snapshot; returns the segments in the ring by number."""
     refs = log.head.runs
     runs: dict[int, records.Run] = {}
     segments: dict[int, records.Segment] = {}
@@ -277,10 +279,21 @@
         for slot in range(records.RING_SLOTS):
             tasks.start_soon(read_slot, slot)
     log.state.load(log.head, (runs[each] for each in range(len(refs))))
-    while log.state.applied + 1 in segments:
-        segment = segments[log.state.applied + 1]
+    return segments
+
+
+def _apply_read(log: OpenLog, segments: dict[int, records.Segment]) -> None:
+    """Applies the segments that were read and come next.
+
+    Slots are read at different moments, so one that was read late may hold a
+    segment whose predecessor was not there yet. Its slot's revision is known,
+    and appending before it is applied would replace it.
+
+    Raises:
+        FencedError: A later owner has sealed the log; nothing may follow.
+    """
+    while (segment := segments.get(log.state.applied + 1)) is not None:
         if segment.epoch > log.head.epoch:
-            # A later owner has sealed the log; nothing may follow its seal.
             raise fenced.FencedError(None)
         log.state.apply(segment)
 
--- a/tests/idempotency/test_open_log.py
+++ b/tests/idempotency/test_open_log.py
@@ -4,10 +4,12 @@
 
 import random
 
+import anyio
 import pytest
 from testtools import assertions
 from testtools import matchers
 
+from lovageyoke.idempotency import api
 from lovageyoke.idempotency import budget
 from lovageyoke.idempotency import fenced
 from lovageyoke.idempotency import open_log
@@ -31,6 +33,40 @@
         return record
 
 
+class HeldPlatform(fake.FakePlatform):
+    """Waits for events around calls that name certain keys.
+
+    Attributes:
+        before: Event to wait for before a key is read.
+        after: Event to set, and event to wait for, after a key was created
+            or read.
+    """
+
+    def __init__(self, store, clock):
+        super().__init__(store, clock)
+        self.before = {}
+        self.after = {}
+
+    async def get(self, key):
+        if key in self.before:
+            await self.before[key].wait()
+        record = await super().get(key)
+        await self._hold(("get", key))
+        return record
+
+    async def create(self, key, value, lease_id=None):
+        record = await super().create(key, value, lease_id)
+        await self._hold(("create", key))
+        return record
+
+    async def _hold(self, call):
+        reached, proceed = self.after.get(call, (None, None))
+        if reached is not None:
+            reached.set()
+        if proceed is not None:
+            await proceed.wait()
+
+
 @pytest.fixture
 def state():
     return platform_store.PlatformStore()
@@ -78,3 +114,33 @@
     log = await open_as(platform, "entry-2")
     assertions.assert_that(log.state.applied, matchers.Equals(2))
     assertions.assert_that(log.state.epoch, matchers.Equals(2))
+
+
+async def test_a_segment_read_late_is_not_replaced(
+    clock, state, open_as, anyio_backend
+):
+    old = HeldPlatform(state, clock)
+    new = HeldPlatform(state, clock)
+    headed, read_first, appended = anyio.Event(), anyio.Event(), anyio.Event()
+    # The old owner appends two segments between two reads of the new one.
+    old.after["create", records.head_key(SHARD)] = (headed, read_first)
+    new.after["get", records.segment_key(SHARD, 1)] = (read_first, None)
+    new.before[records.segment_key(SHARD, 2)] = appended
+
+    async def append_as_old():
+        log = await open_as(old, "entry-1")
+        claim = api.Claim("scope", "identity", "f", "attempt", 60_000)
+        segment = records.Segment(
+            number=2, epoch=1, writer="entry-1", log_time_ms=0, claims=(claim,)
+        )
+        await log.append(segment)
+        appended.set()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(append_as_old)
+        await headed.wait()
+        log = await open_as(new, "entry-2")
+    kept = state.get(records.segment_key(SHARD, 2), clock.now_ms())
+    segment = records.decode(kept.value, records.Segment)
+    assertions.assert_that(segment.writer, matchers.Equals("entry-1"))
+    assertions.assert_that(log.state.applied, matchers.Equals(3))
