Pay for no hedge where there is no other upstream

Cause: a service with one upstream spent a retry token on each slow request, for a second attempt that could only fail. Change: such a service isn't hedged. Measured: the new test fails before and passes after; 110 tests of tests/caller and tests/transport pass, 7.8 s. Conclusion: its tokens are kept for retries.

--- a/src/lovageyoke/caller/dispatch.py
+++ b/src/lovageyoke/caller/dispatch.py
@@ -57,7 +57,7 @@
     async def _first_of(self, call: call_module.Call) -> attempt_module.Answer:
         now_ms = self._clock.now_ms()
         delay_ms = None
-        if not call.attempts:
+        if not call.attempts and len(call.route.targets) > 1:
             delay_ms = hedge.delay_ms(
                 call.route.latency,
                 call.request.repeatable,
--- a/tests/caller/test_limits.py
+++ b/tests/caller/test_limits.py
@@ -127,3 +127,24 @@
     assertions.assert_that(
         answer.headers["lovageyoke-outcome"], matchers.Equals("not-run")
     )
+
+
+@pytest.mark.anyio
+async def test_no_hedge_is_paid_for_without_another_upstream():
+    slow = scripted_upstream.ScriptedUpstream(
+        scripted_upstream.answer_all, stall
+    )
+    async with path.running(slow) as entry:
+        for _ in range(50):
+            await entry.client.get("/map")
+        entry.clock.advance(4_500)
+        spent = entry.route.budget.spent
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(entry.client.get, "/map")
+            await slow.until(lambda: len(slow.requests) == 51)
+            entry.clock.advance(100)
+            await slow.until(lambda: True)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+        spent = entry.route.budget.spent - spent
+    assertions.assert_that(spent, matchers.Equals(0))
