Let the path bench survive resets and count hedges

Cause: a hedge's loser is closed with a reset, which ended the bench's upstream; one upstream left hedges out; a hop that doesn't run gave a traceback.

--- a/src/lovageyoke/bench/path_hop.py
+++ b/src/lovageyoke/bench/path_hop.py
@@ -29,6 +29,7 @@
 USAGE_PATH = "/-/usage"
 MS_PER_SECOND = 1_000
 CONNECTIONS = 240
+UPSTREAMS = 2
 
 App = Callable[
     [caller_api.Scope, caller_api.Receive, caller_api.Send], Awaitable[None]
@@ -44,19 +45,22 @@
 
 
 class BenchService(caller_api.ServiceDirectory):
-    """One service with one upstream that has room for all requests."""
+    """One service whose upstreams are all the one of the bench."""
 
     def __init__(self, address: str, port: int) -> None:
-        upstream = model.Upstream(
-            "upstream-1",
-            address,
-            port,
-            "domain-1",
-            slots=CONNECTIONS,
-            connections=CONNECTIONS,
+        upstreams = tuple(
+            model.Upstream(
+                f"upstream-{number}",
+                address,
+                port,
+                "domain-1",
+                slots=CONNECTIONS,
+                connections=CONNECTIONS,
+            )
+            for number in range(UPSTREAMS)
         )
         service = model.Service(
-            "bench", "bench", path_prefixes=("/",), upstreams=(upstream,)
+            "bench", "bench", path_prefixes=("/",), upstreams=upstreams
         )
         self.versioned = model.VersionedService(1, service)
 
--- a/src/lovageyoke/bench/path_upstream.py
+++ b/src/lovageyoke/bench/path_upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 
 import anyio
@@ -36,7 +37,8 @@
 
 async def _answer_all(sock: socket.socket) -> None:
     parser = h11.Connection(h11.SERVER)
-    with sock:
+    # A hop resets the connection of a hedge that it no longer needs.
+    with sock, contextlib.suppress(ConnectionError):
         while data := await sockets.receive(sock):
             parser.receive_data(data)
             event = parser.next_event()
--- a/src/lovageyoke/cli/bench_path.py
+++ b/src/lovageyoke/cli/bench_path.py
@@ -16,6 +16,7 @@
 from lovageyoke.bench import path_load
 from lovageyoke.bench import path_upstream
 from lovageyoke.cli import bench
+from lovageyoke.errors import exceptions
 from lovageyoke.transport import api
 
 SHARED = (
@@ -48,14 +49,19 @@
             for version in path_hop.Version
         }
     load = path_load.Load(rate, duration, connections, seed)
-    rows = anyio.run(
-        path.run,
-        load,
-        turns,
-        upstream,
-        hops,
-        backend_options=path.LOOP_OPTIONS,
-    )
+    try:
+        rows = anyio.run(
+            path.run,
+            load,
+            turns,
+            upstream,
+            hops,
+            backend_options=path.LOOP_OPTIONS,
+        )
+    except* exceptions.UpstreamError as group:
+        raise typer.BadParameter(
+            _describe(group), param_hint="--connect"
+        ) from group
     if json:
         typer.echo(orjson.dumps([attrs.asdict(row) for row in rows]))
         return
@@ -82,6 +88,12 @@
     anyio.run(anyio.sleep_forever)
 
 
+def _describe(error: BaseException) -> str:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return str(error)
+
+
 def _parse_hop(text: str) -> tuple[str, api.Target]:
     name, _, port = text.partition("=")
     if not name or not port.isdigit():
