--- a/src/lovageyoke/platform/fake.py
+++ b/src/lovageyoke/platform/fake.py
@@ -110,7 +110,7 @@
         return self._frozen_vms
 
     async def _admit(self, kind: rates.CallKind) -> None:
-        await self.clock.sleep_ms(self.injector.faults.latency_ms)
+        await self.clock.sleep_ms(self.injector.delay_ms())
         if self.injector.refuses():
             raise exceptions.PlatformUnavailableError("platform outage")
         if not self.store.counter.admit(kind, self.clock.now_ms()):
--- a/src/lovageyoke/platform/faults.py
+++ b/src/lovageyoke/platform/faults.py
@@ -14,6 +14,7 @@
     Attributes:
         outage: Every call is refused without effect.
         latency_ms: Time added to each call, in milliseconds.
+        jitter_ms: Most further time, drawn for each call, in milliseconds.
         refused_share: Calls that are refused without effect.
         lost_request_share: Writes without effect whose outcome is reported as
             unknown.
@@ -25,6 +26,7 @@
 
     outage: bool = False
     latency_ms: float = 0.0
+    jitter_ms: float = 0.0
     refused_share: float = 0.0
     lost_request_share: float = 0.0
     lost_answer_share: float = 0.0
@@ -43,6 +45,13 @@
         self.faults = faults or Faults()
         self._random = random.Random(seed)  # noqa: S311
 
+    def delay_ms(self) -> float:
+        """Returns how long the call at hand takes, in milliseconds."""
+        if not self.faults.jitter_ms:
+            return self.faults.latency_ms
+        jitter_ms = self._random.uniform(0.0, self.faults.jitter_ms)
+        return self.faults.latency_ms + jitter_ms
+
     def refuses(self) -> bool:
         """Returns whether the call at hand is refused."""
         return self.faults.outage or self._draw(self.faults.refused_share)
--- a/src/lovageyoke/soak/chaos.py
+++ b/src/lovageyoke/soak/chaos.py
@@ -75,7 +75,10 @@
         return self._set_faults(outage=True)
 
     def _slow_platform(self) -> Heal | None:
-        return self._set_faults(latency_ms=self.rng.uniform(50, 1_000))
+        return self._set_faults(
+            latency_ms=self.rng.uniform(1, 500),
+            jitter_ms=self.rng.uniform(50, 1_000),
+        )
 
     def _lost_answers(self) -> Heal | None:
         return self._set_faults(
--- a/src/lovageyoke/standin/upstream.py
+++ b/src/lovageyoke/standin/upstream.py
@@ -103,6 +103,7 @@
         return applications.Starlette(
             routes=[
                 routing.Route("/-/load", self._load),
+                routing.Route("/-/runs", self._runs),
                 routing.Route("/-/behaviour", self._control, methods=["POST"]),
                 routing.Route("/scans/{size:int}", self._scan),
                 routing.Route(
@@ -124,6 +125,9 @@
     async def _load(self, request: requests.Request) -> responses.Response:
         return responses.Response(headers={LOAD_HEADER: self.load_header()})
 
+    async def _runs(self, request: requests.Request) -> responses.Response:
+        return responses.JSONResponse(self.ledger.runs)
+
     async def _control(self, request: requests.Request) -> responses.Response:
         known = {each.name for each in attrs.fields(Behaviour)} - {"slots"}
         changes = await request.json()
