--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -7,6 +7,7 @@
 from lovageyoke.cli import addresses
 from lovageyoke.cli import app
 from lovageyoke.cli import audit
+from lovageyoke.cli import bench_capacity
 from lovageyoke.cli import bench_claims
 from lovageyoke.cli import bench_membership
 from lovageyoke.cli import bench_path
@@ -32,6 +33,7 @@
     addresses,
     audit,
     bench_path,
+    bench_capacity,
     bench_claims,
     bench_membership,
     bench_policy,
