Let idle services cost next to nothing in probing and drains

Change: a service without rights is asked again when the share changes, or after 5 s; a VM list is compared once, and only for VMs that leave.

--- a/src/lovageyoke/entry/drains.py
+++ b/src/lovageyoke/entry/drains.py
@@ -35,6 +35,7 @@
         self._announce = announce
         self._clock = clock
         self._applied: frozenset[str] = frozenset()
+        self._read_ms: float | None = None
 
     def seen(self, service: str, upstream_id: str) -> None:
         """Takes a sign of draining from an upstream."""
@@ -45,7 +46,7 @@
     async def run(self) -> None:
         """Applies drains until cancelled."""
         while True:
-            self._read_list()
+            self.read_list()
             self.apply()
             await self._clock.sleep_ms(APPLY_INTERVAL_MS)
 
@@ -62,11 +63,17 @@
                 route.drain(upstream_id, now_ms)
         self._applied = active
 
-    def _read_list(self) -> None:
+    def read_list(self) -> None:
+        """Takes the upstreams that a newer list says are leaving."""
+        if self._listing.asked_ms == self._read_ms:
+            return
+        self._read_ms = self._listing.asked_ms
+        leaving = self._listing.leaving()
+        if not leaving:
+            return
         for name, route in self.routes.by_name.items():
-            for upstream_id in route.targets:
-                if self._listing.is_leaving(upstream_id):
-                    self.seen(name, upstream_id)
+            for upstream_id in leaving & route.targets.keys():
+                self.seen(name, upstream_id)
 
     def _restore(self, key: str, now_ms: float) -> None:
         service, _, upstream_id = key.partition(SEPARATOR)
--- a/src/lovageyoke/membership/listing.py
+++ b/src/lovageyoke/membership/listing.py
@@ -33,3 +33,11 @@
     def is_leaving(self, entry_id: str) -> bool:
         """Returns whether a VM is listed as leaving."""
         return self.states.get(entry_id) is platform_api.VmState.LEAVING
+
+    def leaving(self) -> frozenset[str]:
+        """Returns the VMs listed as leaving."""
+        return frozenset(
+            vm_id
+            for vm_id, state in self.states.items()
+            if state is platform_api.VmState.LEAVING
+        )
--- a/src/lovageyoke/probing/budget.py
+++ b/src/lovageyoke/probing/budget.py
@@ -62,6 +62,12 @@
             return 0
         return self._rights
 
+    def is_settled(self, now_ms: float) -> bool:
+        """Returns whether rights change only with the share's version."""
+        return self.share.is_fresh(self.window_ms, now_ms) and not (
+            self._is_long and not self._is_long_settled(now_ms)
+        )
+
     def next_ms(self, now_ms: float) -> float | None:
         """Returns when the next probe may be sent; None without a right."""
         rights = self.rights(now_ms)
--- a/src/lovageyoke/probing/prober.py
+++ b/src/lovageyoke/probing/prober.py
@@ -114,7 +114,10 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 now_ms = self.clock.now_ms()
+                version = self.share.version
                 self.share.update(self.view, now_ms)
+                if self.share.version != version:
+                    self._make_all_due(now_ms)
                 self.start_due(tasks, now_ms)
                 await self.clock.sleep_ms(TICK_MS)
 
@@ -130,6 +133,12 @@
                 upstream_id = service.scheduler.next_target(now_ms)
             self._push(name, service, service.scheduler.recheck_ms(now_ms))
 
+    def _make_all_due(self, now_ms: float) -> None:
+        self._due = [
+            (now_ms, next(self._order), name, service)
+            for name, service in self.services.items()
+        ]
+
     def _push(self, name: str, service: ProbedService, due_ms: float) -> None:
         item = (due_ms, next(self._order), name, service)
         heapq.heappush(self._due, item)
--- a/src/lovageyoke/probing/scheduler.py
+++ b/src/lovageyoke/probing/scheduler.py
@@ -9,6 +9,7 @@
 from lovageyoke.routing import api
 
 IDLE_RECHECK_MS = 500.0
+NO_RIGHT_RECHECK_MS = 5_000.0
 
 
 class ProbeScheduler:
@@ -57,7 +58,9 @@
         """Returns when to ask for a target again, after there was none."""
         allowed_ms = self.budget.next_ms(now_ms)
         if allowed_ms is None:
-            return now_ms + IDLE_RECHECK_MS
+            settled = self.budget.is_settled(now_ms)
+            pause_ms = NO_RIGHT_RECHECK_MS if settled else IDLE_RECHECK_MS
+            return now_ms + pause_ms
         pause_ms = min(IDLE_RECHECK_MS, self.plan.useful_ms / 4.0)
         return max(allowed_ms, now_ms + pause_ms)
 
