Run the capacity bench on uvloop, as the serve command does

Cause: the bench ran an entry on asyncio's own loop, whose overhead was most of an idle entry's cost in samples, and which `serve` does not use. Change: the bench runs on uvloop.

--- a/src/lovageyoke/bench/capacity.py
+++ b/src/lovageyoke/bench/capacity.py
@@ -78,7 +78,13 @@
         upstreams: Upstreams of each service.
         seconds: How long each stage idles.
     """
-    return anyio.run(_run, services, upstreams, seconds)
+    return anyio.run(
+        _run,
+        services,
+        upstreams,
+        seconds,
+        backend_options={"use_uvloop": True},
+    )
 
 
 async def _run(services: int, upstreams: int, seconds: float) -> list[Stage]:
