--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 	$(BIN)/python -m lovageyoke demo
 
 test: setup dist/lovageyoke
-	$(BIN)/python -m pytest --numprocesses $(TEST_WORKERS)
+	$(BIN)/python -m pytest --numprocesses $(TEST_WORKERS) \
+		--dist loadfile
 
 check: setup
 	$(BIN)/ruff format --check src tests
--- a/src/lovageyoke/entry/front.py
+++ b/src/lovageyoke/entry/front.py
@@ -9,6 +9,7 @@
 from lovageyoke.addresses import answer as answer_lib
 from lovageyoke.caller import api
 from lovageyoke.clock import api as clock_api
+from lovageyoke.entry import observer as observer_lib
 
 ADDRESSES_PATH = "/.well-known/lovageyoke/addresses"
 ALLOWED_METHODS = frozenset(("GET", "HEAD"))
@@ -23,23 +24,33 @@
     Attributes:
         app: Serves the services' requests.
         book: Chooses addresses.
+        observer: Sees every answer.
     """
 
     def __init__(
-        self, app: App, book: answer_lib.AddressBook, clock: clock_api.Clock
+        self,
+        app: App,
+        book: answer_lib.AddressBook,
+        observer: observer_lib.RequestObserver,
+        clock: clock_api.Clock,
     ) -> None:
         self.app = app
         self.book = book
+        self.observer = observer
         self._clock = clock
 
     async def __call__(
         self, scope: api.Scope, receive: api.Receive, send: api.Send
     ) -> None:
         """Serves one ASGI connection scope."""
-        if scope["type"] == "http" and scope["path"] == ADDRESSES_PATH:
-            await self._answer(scope, send)
-        else:
+        if scope["type"] != "http":
             await self.app(scope, receive, send)
+            return
+        observed = self.observer.watch(scope, send)
+        if scope["path"] == ADDRESSES_PATH:
+            await self._answer(scope, observed)
+        else:
+            await self.app(scope, receive, observed)
 
     async def _answer(self, scope: api.Scope, send: api.Send) -> None:
         if scope["method"] not in ALLOWED_METHODS:
--- a/src/lovageyoke/entry/metrics.py
+++ b/src/lovageyoke/entry/metrics.py
@@ -53,6 +53,22 @@
     "Probes that this entry VM may send in one window of the budget.",
     _BY_SERVICE,
 )
+ANSWERS = metrics.Metric(
+    "answers_total", _COUNTER, "Answers to callers.", ("status",)
+)
+REFUSED = metrics.Metric(
+    "requests_refused_total", _COUNTER, "Requests refused on arrival."
+)
+EXPIRED = metrics.Metric(
+    "requests_expired_total", _COUNTER, "Requests that waited in vain."
+)
+CLAIMS = metrics.Metric("claims_total", _COUNTER, "Claims asked for here.")
+CLAIMS_GRANTED = metrics.Metric(
+    "claims_granted_total", _COUNTER, "Claims granted."
+)
+CLAIMS_UNAVAILABLE = metrics.Metric(
+    "claims_unavailable_total", _COUNTER, "Claims that could not be made."
+)
 IN_FLIGHT = metrics.Metric(
     "requests_in_flight", _GAUGE, "Requests admitted and not ended."
 )
@@ -67,6 +83,12 @@
     PROBES_SENT,
     PROBES_FAILED,
     PROBE_RIGHTS,
+    ANSWERS,
+    REFUSED,
+    EXPIRED,
+    CLAIMS,
+    CLAIMS_GRANTED,
+    CLAIMS_UNAVAILABLE,
     IN_FLIGHT,
 )
 
@@ -81,8 +103,8 @@
         """Returns the present values."""
         yield from self._configuration()
         yield from self._probing()
-        in_flight = self._entry.app.admission.control.in_use
-        yield metrics.Sample(IN_FLIGHT, in_flight)
+        yield from self._requests()
+        yield from self._claims()
 
     def _configuration(self) -> Iterator[metrics.Sample]:
         follower = self._entry.follower
@@ -96,6 +118,20 @@
         yield metrics.Sample(PLATFORM_CALLS, follower.source.calls)
         yield metrics.Sample(PLATFORM_FAILING, int(follower.source.failing))
 
+    def _requests(self) -> Iterator[metrics.Sample]:
+        for status, count in self._entry.observer.answers.items():
+            yield metrics.Sample(ANSWERS, count, {"status": str(status)})
+        control = self._entry.app.admission.control
+        yield metrics.Sample(REFUSED, control.refused)
+        yield metrics.Sample(EXPIRED, control.expired)
+        yield metrics.Sample(IN_FLIGHT, control.in_use)
+
+    def _claims(self) -> Iterator[metrics.Sample]:
+        stats = self._entry.claims.stats
+        yield metrics.Sample(CLAIMS, stats.claims)
+        yield metrics.Sample(CLAIMS_GRANTED, stats.granted)
+        yield metrics.Sample(CLAIMS_UNAVAILABLE, stats.unavailable)
+
     def _probing(self) -> Iterator[metrics.Sample]:
         for name, service in self._entry.prober.services.items():
             labels = {"service": name}
--- /dev/null
+++ b/src/lovageyoke/entry/observer.py
@@ -0,0 +1,48 @@
+"""Counts answers to callers, and logs requests when asked to."""
+
+from __future__ import annotations
+
+import collections
+
+from loguru import logger
+
+from lovageyoke.caller import api
+from lovageyoke.clock import api as clock_api
+
+RESPONSE_START = "http.response.start"
+
+
+class RequestObserver:
+    """Sees the status of each answer on its way to the caller.
+
+    Attributes:
+        answers: Number of answers by status code.
+        logged: Whether each request is logged.
+    """
+
+    def __init__(self, clock: clock_api.Clock, logged: bool) -> None:
+        self.answers: collections.Counter[int] = collections.Counter()
+        self.logged = logged
+        self._clock = clock
+
+    def watch(self, scope: api.Scope, send: api.Send) -> api.Send:
+        """Returns a send that observes and hands on."""
+        start_ms = self._clock.now_ms()
+
+        async def observed(message: api.Message) -> None:
+            if message["type"] == RESPONSE_START:
+                self.answers[message["status"]] += 1
+                if self.logged:
+                    self._log(scope, message["status"], start_ms)
+            await send(message)
+
+        return observed
+
+    def _log(self, scope: api.Scope, status: int, start_ms: float) -> None:
+        # The query may hold secrets, so it is left out.
+        logger.bind(
+            method=scope["method"],
+            path=scope["path"],
+            status=status,
+            head_ms=round(self._clock.now_ms() - start_ms, 2),
+        ).info("request answered")
--- a/src/lovageyoke/entry/process.py
+++ b/src/lovageyoke/entry/process.py
@@ -20,6 +20,7 @@
 from lovageyoke.entry import keeper as keeper_lib
 from lovageyoke.entry import listeners as listeners_lib
 from lovageyoke.entry import metrics as entry_metrics
+from lovageyoke.entry import observer
 from lovageyoke.entry import peers
 from lovageyoke.entry import probe as entry_probe
 from lovageyoke.entry import services
@@ -118,7 +119,8 @@
             ),
             on_drain=self._drain_seen,
         )
-        self.front = front.Front(self.app, self.book, clock)
+        self.observer = observer.RequestObserver(clock, settings.log.requests)
+        self.front = front.Front(self.app, self.book, self.observer, clock)
         self.drains = drains.DrainKeeper(
             self._drains,
             self.app.routes,
--- a/src/lovageyoke/settings/model.py
+++ b/src/lovageyoke/settings/model.py
@@ -10,14 +10,13 @@
 
 DEFAULT_PLATFORM_TIMEOUT_MS = 1_000
 DEFAULT_ADDRESS_LIFETIME_MS = 30_000
-DEFAULT_MAX_CALLER_CONNECTIONS = 4_096
 DEFAULT_MAX_IN_FLIGHT = 1_024
 DEFAULT_SHUTDOWN_MS = 600_000
 DEFAULT_CLAIM_WRITES_PER_S = 160.0
 DEFAULT_PLATFORM_CALLS_PER_S = 60.0
 MAX_TIMEOUT_MS = 60_000
 MAX_CALLS_PER_S = 10_000
-MAX_CONNECTIONS = 1_000_000
+MAX_IN_FLIGHT = 1_000_000
 MS_PER_DAY = 86_400_000
 
 
@@ -44,13 +43,6 @@
     EDITOR = "editor"
 
 
-class LogStore(enum.Enum):
-    """How the at-most-once log is kept in the platform."""
-
-    SEGMENTS = "segments"
-    KEY_PER_CLAIM = "key-per-claim"
-
-
 @attrs.frozen
 class Entry:
     """Identity and place of this entry VM.
@@ -142,18 +134,13 @@
     """Bounds on this process.
 
     Attributes:
-        max_caller_connections: Connections open to callers.
         max_in_flight: Requests in progress.
         address_lifetime_ms: How long callers may keep an address answer.
         shutdown_ms: Time that requests in flight have after a stop.
     """
 
-    max_caller_connections: int = checks.checked(
-        checks.Between(1, MAX_CONNECTIONS),
-        default=DEFAULT_MAX_CALLER_CONNECTIONS,
-    )
     max_in_flight: int = checks.checked(
-        checks.Between(1, MAX_CONNECTIONS), default=DEFAULT_MAX_IN_FLIGHT
+        checks.Between(1, MAX_IN_FLIGHT), default=DEFAULT_MAX_IN_FLIGHT
     )
     address_lifetime_ms: int = checks.checked(
         checks.Between(0, MS_PER_DAY), default=DEFAULT_ADDRESS_LIFETIME_MS
@@ -237,4 +224,3 @@
     peers: Peers = attrs.field(factory=Peers)
     log: Log = attrs.field(factory=Log)
     operators: tuple[Operator, ...] = ()
-    claim_store: LogStore = LogStore.SEGMENTS
