--- a/tests/entry/test_front.py
+++ b/tests/entry/test_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import pathlib
 
 import pytest
 from testtools import assertions
@@ -14,6 +15,7 @@
 from lovageyoke.membership import api
 from lovageyoke.membership import static
 
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "CALLER-API.md"
 MEMBER = api.Member("e1", 1, "127.0.0.1:80", "127.0.0.1:81", "dk-east-1")
 
 
@@ -67,3 +69,14 @@
     await ask(application, "GET", front.ADDRESSES_PATH)
     counted = dict(application.observer.answers)
     assertions.assert_that(counted, matchers.Equals({404: 1, 200: 1}))
+
+
+async def test_the_answer_is_as_the_page_shows(application, anyio_backend):
+    shown = PAGE.read_text().partition("```json\n")[2].partition("```")[0]
+    expected = json.loads(shown)
+    _, body = await ask(application, "GET", front.ADDRESSES_PATH)
+    found = json.loads(body)
+    longest_ms = expected.pop("lifetime_ms")
+    lifetime_ms = found.pop("lifetime_ms")
+    assertions.assert_that(found, matchers.Equals(expected))
+    assertions.assert_that(lifetime_ms > longest_ms, matchers.Is(False))
--- a/tests/processes/test_serve.py
+++ b/tests/processes/test_serve.py
@@ -8,6 +8,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from lovageyoke.cli import signals
 from lovageyoke.idempotency import shards
 from lovageyoke.membership import rendezvous
 from lovageyoke.standin import upstream as standin_upstream
@@ -115,3 +116,13 @@
         )
         assertions.assert_that(runs_of(fleet, identity), matchers.Equals(1))
     assertions.assert_that(runs_of(fleet, "at-once"), matchers.Equals(1))
+
+
+def test_a_second_signal_ends_an_entry_at_once(fleet):
+    entry = fleet.entries[1]
+    entry.signal(conftest.SIGTERM)
+    entry.wait_for("stopping: requests in flight will complete")
+    entry.signal(conftest.SIGTERM)
+    assertions.assert_that(
+        entry.exit_code(), matchers.Equals(signals.FORCED_EXIT_CODE)
+    )
