Split the entry process into what is shared and what requests pass

Cause: the constructor of the entry process had grown to seventy lines that built three things. Change: Fleet holds peers, membership, configuration and claims; RequestPath holds routing, limits, connections and probes; the process holds the supervisor tree. No behaviour changes.

--- a/src/lovageyoke/bench/capacity.py
+++ b/src/lovageyoke/bench/capacity.py
@@ -105,7 +105,7 @@
     stages = []
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(entry.run)
-        await entry.follower.ready.wait()
+        await entry.fleet.follower.ready.wait()
         stages.append(await _idle("empty", 0, 0, 0.0, seconds))
         load_s = _load(entry, services, upstreams)
         stages.append(
@@ -125,11 +125,11 @@
         group.append(updates.ServiceUpdate(made.name, 1, len(group) + 1, made))
     started_s = time.process_time()
     for group_number, found in by_group.items():
-        entry.view.apply(
+        entry.fleet.view.apply(
             updates.GroupUpdate(group_number, 0, len(found), tuple(found))
         )
-    for name in entry.view.services():
-        entry.keeper.apply(name)
+    for name in entry.fleet.view.services():
+        entry.path.keeper.apply(name)
     return time.process_time() - started_s
 
 
--- a/src/lovageyoke/demo/run.py
+++ b/src/lovageyoke/demo/run.py
@@ -64,7 +64,7 @@
             intents.maps(self.scene.groups["maps"].places),
             intents.scans(self.scene.groups["scans"].places),
         )
-        store = self.scene.entries[0].store
+        store = self.scene.entries[0].fleet.store
         for text in texts:
             plan = await store.plan(intent.parse(text))
             await store.confirm(plan, OPERATOR)
@@ -75,7 +75,9 @@
         clock = self.scene.clock
         until_ms = clock.now_ms() + SETTLE_MS
         while clock.now_ms() < until_ms:
-            counts = [len(each.view.services()) for each in self.scene.entries]
+            counts = [
+                len(each.fleet.view.services()) for each in self.scene.entries
+            ]
             if min(counts) == services:
                 return
             await clock.sleep_ms(SETTLE_STEP_MS)
@@ -145,7 +147,7 @@
             versions={
                 entry.settings.entry.entry_id: {
                     name: each.version
-                    for name, each in entry.view.services().items()
+                    for name, each in entry.fleet.view.services().items()
                 }
                 for entry in self.scene.entries
             },
--- a/src/lovageyoke/demo/scene.py
+++ b/src/lovageyoke/demo/scene.py
@@ -126,8 +126,8 @@
         ]
         probe_times_ms: dict[str, list[float]] = {}
         for entry in entries:
-            entry.prober.probe = RecordingProbe(
-                entry.prober.probe, clock, probe_times_ms
+            entry.path.prober.probe = RecordingProbe(
+                entry.path.prober.probe, clock, probe_times_ms
             )
         yield Scene(clock, entries, groups, probe_times_ms)
 
--- a/src/lovageyoke/entry/metrics.py
+++ b/src/lovageyoke/entry/metrics.py
@@ -4,17 +4,15 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
 
 from starlette import requests
 from starlette import responses
 from starlette import routing
 
+from lovageyoke.entry import fleet as fleet_lib
+from lovageyoke.entry import request_path
 from lovageyoke.observe import metrics
 
-if TYPE_CHECKING:
-    from lovageyoke.entry import process
-
 METRICS_PATH = "/metrics"
 CONTENT_TYPE = "text/plain; version=0.0.4"
 
@@ -96,8 +94,11 @@
 class EntryMetrics(metrics.MetricSource):
     """Reads the metrics of an entry's parts."""
 
-    def __init__(self, entry: process.EntryProcess) -> None:
-        self._entry = entry
+    def __init__(
+        self, fleet: fleet_lib.Fleet, path: request_path.RequestPath
+    ) -> None:
+        self._fleet = fleet
+        self._path = path
 
     def samples(self) -> Iterable[metrics.Sample]:
         """Returns the present values."""
@@ -107,9 +108,9 @@
         yield from self._claims()
 
     def _configuration(self) -> Iterator[metrics.Sample]:
-        follower = self._entry.follower
+        follower = self._fleet.follower
         rollout = follower.rollout()
-        services = self._entry.view.services().values()
+        services = self._fleet.view.services().values()
         in_force = sum(each.service is not None for each in services)
         yield metrics.Sample(SERVICES, in_force)
         yield metrics.Sample(READY, int(rollout.ready))
@@ -119,21 +120,21 @@
         yield metrics.Sample(PLATFORM_FAILING, int(follower.source.failing))
 
     def _requests(self) -> Iterator[metrics.Sample]:
-        for status, count in self._entry.observer.answers.items():
+        for status, count in self._path.observer.answers.items():
             yield metrics.Sample(ANSWERS, count, {"status": str(status)})
-        control = self._entry.app.admission.control
+        control = self._path.app.admission.control
         yield metrics.Sample(REFUSED, control.refused)
         yield metrics.Sample(EXPIRED, control.expired)
         yield metrics.Sample(IN_FLIGHT, control.in_use)
 
     def _claims(self) -> Iterator[metrics.Sample]:
-        stats = self._entry.claims.stats
+        stats = self._fleet.claims.stats
         yield metrics.Sample(CLAIMS, stats.claims)
         yield metrics.Sample(CLAIMS_GRANTED, stats.granted)
         yield metrics.Sample(CLAIMS_UNAVAILABLE, stats.unavailable)
 
     def _probing(self) -> Iterator[metrics.Sample]:
-        for name, service in self._entry.prober.services.items():
+        for name, service in self._path.prober.services.items():
             labels = {"service": name}
             counters = service.scheduler.counters
             failed = counters.failed + counters.timed_out
--- /dev/null
+++ b/src/lovageyoke/entry/request_path.py
@@ -0,0 +1,86 @@
+"""The parts of an entry VM that requests pass through."""
+
+from __future__ import annotations
+
+import random
+
+from lovageyoke.caller import app as caller_app
+from lovageyoke.clock import api as clock_api
+from lovageyoke.config import model as config_model
+from lovageyoke.entry import drains
+from lovageyoke.entry import fleet as fleet_lib
+from lovageyoke.entry import front
+from lovageyoke.entry import keeper as keeper_lib
+from lovageyoke.entry import observer as observer_lib
+from lovageyoke.entry import probe as entry_probe
+from lovageyoke.entry import services
+from lovageyoke.limits import admission
+from lovageyoke.limits import control
+from lovageyoke.limits import upstream
+from lovageyoke.probing import prober as prober_lib
+from lovageyoke.settings import model
+from lovageyoke.transport import pool
+
+
+class RequestPath:
+    """Routing, limits, connections and probes.
+
+    Attributes:
+        transport: Connections to upstreams.
+        app: Forwards the services' requests.
+        observer: Counts answers.
+        front: What the callers' listener serves.
+        drains: Stops new work to draining upstreams.
+        prober: Measures upstreams within the budget.
+        keeper: Applies the configuration to routing and probing.
+    """
+
+    def __init__(
+        self,
+        settings: model.Settings,
+        fleet: fleet_lib.Fleet,
+        clock: clock_api.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.transport = pool.PooledTransport(clock)
+        gate = control.AdmissionControl(settings.limits.max_in_flight)
+        self.app = caller_app.create(
+            services.Directory(fleet.view),
+            services.Policies(settings.entry.failure_domain, rng).create,
+            self.transport,
+            fleet.claims,
+            clock,
+            admission=admission.Admission(gate, clock),
+            on_drain=self._drain_seen,
+        )
+        logged = settings.log.requests
+        self.observer = observer_lib.RequestObserver(clock, logged)
+        self.front = front.Front(self.app, fleet.book, self.observer, clock)
+        self.drains = drains.DrainKeeper(
+            fleet.drains,
+            self.app.routes,
+            fleet.membership.state.members.listing,
+            fleet.membership.announce,
+            clock,
+        )
+        probe = entry_probe.UpstreamProbe(self.transport, clock)
+        self.prober = prober_lib.Prober(probe, fleet.membership.view, clock)
+        self.keeper = keeper_lib.ServiceKeeper(
+            fleet.view, self.app.routes, self.prober, probe
+        )
+
+    def in_use(self) -> int:
+        """Returns the number of requests admitted and not ended."""
+        return self.app.admission.control.in_use
+
+    def set_entries(self, entries: int) -> None:
+        """Sets how many entry VMs share the upstreams."""
+        if entries == self.app.routes.entries:
+            return
+        self.app.routes.set_entries(entries)
+        self.transport.connection_share = upstream.connection_share(
+            config_model.DEFAULT_CONNECTIONS, entries
+        )
+
+    def _drain_seen(self, service: str, upstream_id: str) -> None:
+        self.drains.seen(service, upstream_id)
