Judge the demonstration by the real audit trail

Cause: the promise of audit records compared the confirmed plans with themselves, so it could not fail; two others held when nothing happened.

--- a/src/lovageyoke/demo/promises.py
+++ b/src/lovageyoke/demo/promises.py
@@ -9,6 +9,7 @@
 import attrs
 import httpx
 
+from lovageyoke.config import document
 from lovageyoke.demo import traffic
 from lovageyoke.errors import table
 
@@ -43,7 +44,7 @@
             the drain had been known for its longest time, and at the end.
         versions: Version of each service on each entry.
         confirmed: Plan ids that were confirmed.
-        audited: Plan ids in the audit trail.
+        audited: The audit trail.
     """
 
     record: traffic.Record
@@ -53,7 +54,7 @@
     drained_served: tuple[int, int]
     versions: dict[str, dict[str, int]]
     confirmed: tuple[str, ...]
-    audited: tuple[str, ...]
+    audited: tuple[document.AuditRecord, ...]
 
 
 def judge(observed: Observed) -> tuple[Promise, ...]:
@@ -171,7 +172,7 @@
     new = at_end - after_notice
     return Promise(
         "a draining upstream gets no new work after 3 s",
-        new == 0,
+        after_notice > 0 and new == 0,
         f"{after_notice} requests before, {new} after",
     )
 
@@ -185,7 +186,7 @@
     worst = max(most.values(), default=0)
     return Promise(
         "probes stay within their budget",
-        worst <= observed.probes_per_s,
+        0 < worst <= observed.probes_per_s,
         f"{total} sent, at most {worst} in a second of "
         f"{observed.probes_per_s:.0f} allowed for each service",
     )
@@ -203,9 +204,11 @@
 
 
 def _audited(observed: Observed) -> Promise:
-    missing = set(observed.confirmed) - set(observed.audited)
+    records = collections.Counter(each.plan_id for each in observed.audited)
+    wrong = [each for each in observed.confirmed if records[each] != 1]
     return Promise(
         "every confirmed plan has one audit record",
-        not missing and len(observed.audited) == len(set(observed.audited)),
-        f"{len(observed.confirmed)} confirmed, {len(missing)} without record",
+        bool(observed.confirmed) and not wrong,
+        f"{len(observed.confirmed)} confirmed, {len(wrong)} without their one "
+        "record",
     )
--- a/src/lovageyoke/demo/report.py
+++ b/src/lovageyoke/demo/report.py
@@ -5,6 +5,7 @@
 import rich.console
 import rich.table
 
+from lovageyoke.config import document
 from lovageyoke.demo import promises
 from lovageyoke.demo import traffic
 
@@ -15,7 +16,7 @@
     console: rich.console.Console,
     record: traffic.Record,
     judged: tuple[promises.Promise, ...],
-    audit: tuple[str, ...],
+    audit: tuple[document.AuditRecord, ...],
 ) -> None:
     """Prints latencies, the audit trail and the promises."""
     console.print(_latency_table(record))
@@ -34,10 +35,20 @@
     return table
 
 
-def _audit_table(audit: tuple[str, ...]) -> rich.table.Table:
-    table = rich.table.Table(title="Audit trail", show_header=False)
-    for line in audit:
-        table.add_row(line)
+def _audit_table(
+    audit: tuple[document.AuditRecord, ...],
+) -> rich.table.Table:
+    table = rich.table.Table(title="Audit trail")
+    for heading in ("operator", "action", "service", "version", "plan"):
+        table.add_column(heading)
+    for each in audit:
+        table.add_row(
+            each.operator,
+            each.action.value,
+            each.service,
+            str(each.version),
+            each.plan_id,
+        )
     return table
 
 
--- a/src/lovageyoke/demo/run.py
+++ b/src/lovageyoke/demo/run.py
@@ -7,6 +7,8 @@
 import rich.console
 
 from lovageyoke.clock import api as clock_api
+from lovageyoke.config import audit
+from lovageyoke.config import document
 from lovageyoke.config import intent
 from lovageyoke.demo import intents
 from lovageyoke.demo import promises
@@ -155,8 +157,9 @@
             audited=await self._audited(),
         )
 
-    async def _audited(self) -> tuple[str, ...]:
-        return tuple(self.confirmed)
+    async def _audited(self) -> tuple[document.AuditRecord, ...]:
+        store = self.scene.entries[-1].fleet.store
+        return await audit.find(store, audit.AuditQuery())
 
 
 async def demonstrate(
