Run the server library in one place, and bind sockets in one

Cause: the callers' server and the other listeners each had the shielded loop around the server library and its end on cancellation, and each a function that binds a socket; the callers' listener got its liveness options twice at start-up. Change: hosting.run serves both, hosting.bind replaces server.listen, and the options are set where the connections are served.

--- a/src/lovageyoke/bench/path.py
+++ b/src/lovageyoke/bench/path.py
@@ -12,7 +12,7 @@
 from lovageyoke.bench import path_hop
 from lovageyoke.bench import path_load
 from lovageyoke.bench import path_upstream
-from lovageyoke.caller import server
+from lovageyoke.serving import hosting
 from lovageyoke.transport import api
 
 DIRECT = "direct"
@@ -120,7 +120,7 @@
         upstream_port: Where its upstream listens.
         port: Where it listens itself; 0 takes an ephemeral port.
     """
-    listener = server.listen(LOOPBACK, port)
+    listener = hosting.bind(LOOPBACK, port)
     target = api.Target(version.value, LOOPBACK, listener.getsockname()[1])
     thread = threading.Thread(
         target=run_hop, args=(version, listener, upstream_port), daemon=True
--- a/src/lovageyoke/caller/server.py
+++ b/src/lovageyoke/caller/server.py
@@ -8,13 +8,12 @@
 from typing import Any
 from typing import cast
 
-import anyio
 import attrs
-import hypercorn.asyncio
 import hypercorn.config
 
 from lovageyoke.caller import api
 from lovageyoke.caller import http1
+from lovageyoke.serving import hosting
 from lovageyoke.transport import sockets
 
 BACKLOG = 1_024
@@ -47,16 +46,6 @@
     key: str = ""
 
 
-def listen(address: str, port: int) -> socket.socket:
-    """Returns a listening socket; port 0 takes an ephemeral port."""
-    family = socket.AF_INET6 if ":" in address else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((address, port))
-    sock.listen(BACKLOG)
-    return sock
-
-
 def prepare(listener: socket.socket) -> None:
     """Sets the options that connections inherit from their listener."""
     sockets.set_liveness_options(listener, CALLER_UNACKNOWLEDGED_MS)
@@ -107,26 +96,4 @@
     prepare(listener)
     # The server library takes ownership of the file descriptor.
     listener.detach()
-    stopping = anyio.Event()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_stop_after, until, stopping, config)
-        # The library can't be cancelled while it waits for its connections.
-        with anyio.CancelScope(shield=True):
-            await hypercorn.asyncio.serve(
-                cast("Any", app), config, shutdown_trigger=stopping.wait
-            )
-        tasks.cancel_scope.cancel()
-
-
-async def _stop_after(
-    until: Callable[[], Awaitable[None]],
-    stopping: anyio.Event,
-    config: hypercorn.config.Config,
-) -> None:
-    try:
-        await until()
-    except BaseException:
-        config.graceful_timeout = 0.0
-        raise
-    finally:
-        stopping.set()
+    await hosting.run(cast("Any", app), config, until)
--- a/src/lovageyoke/entry/listeners.py
+++ b/src/lovageyoke/entry/listeners.py
@@ -9,7 +9,6 @@
 
 from lovageyoke.serving import hosting
 from lovageyoke.settings import model
-from lovageyoke.transport import sockets
 
 
 @attrs.frozen
@@ -46,7 +45,6 @@
             undo.enter_context(_bind(address))
             for address in (listen.caller, listen.operator, listen.peer)
         ]
-        sockets.set_liveness_options(bound[0])
         undo.pop_all()
     return Listeners(*bound)
 
--- a/src/lovageyoke/serving/hosting.py
+++ b/src/lovageyoke/serving/hosting.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import logging
 import socket
@@ -101,26 +103,46 @@
     config.accesslog = None
     config.errorlog = logging.getLogger("lovageyoke.serving")
     config.include_server_header = False
+    await run(app, config, shutdown.wait)
+
+
+async def run(
+    app: types.ASGIApp,
+    config: hypercorn_config.Config,
+    until: Callable[[], Awaitable[None]],
+) -> None:
+    """Runs the server library until ``until`` returns.
+
+    Args:
+        app: An ASGI application.
+        config: The library's configuration.
+        until: Returns when the server has to stop; requests in flight then
+            have the configured time to end. Cancellation stops it at once.
+    """
     framework = cast(hypercorn_types.ASGIFramework, app)
+    stopping = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_shut_down_when_cancelled, shutdown, config)
+        tasks.start_soon(_stop_after, until, stopping, config)
         # The library can't be cancelled while it waits for its connections.
         with anyio.CancelScope(shield=True):
             await hypercorn_asyncio.serve(
-                framework, config, shutdown_trigger=shutdown.wait
+                framework, config, shutdown_trigger=stopping.wait
             )
         tasks.cancel_scope.cancel()
 
 
-async def _shut_down_when_cancelled(
-    shutdown: anyio.Event, config: hypercorn_config.Config
+async def _stop_after(
+    until: Callable[[], Awaitable[None]],
+    stopping: anyio.Event,
+    config: hypercorn_config.Config,
 ) -> None:
     try:
-        await shutdown.wait()
+        await until()
     except BaseException:
         config.graceful_timeout = 0.0
-        shutdown.set()
         raise
+    finally:
+        stopping.set()
 
 
 @contextlib.asynccontextmanager
--- a/tests/caller/test_hostile_callers.py
+++ b/tests/caller/test_hostile_callers.py
@@ -10,6 +10,7 @@
 from fakes import path
 from fakes import scripted_upstream
 from lovageyoke.caller import server
+from lovageyoke.serving import hosting
 
 SMUGGLED = b"GET /smuggled HTTP/1.1\r\nhost: a\r\n\r\n"
 HOSTILE = {
@@ -209,7 +210,7 @@
 
 @pytest.mark.anyio
 async def test_callers_connections_have_liveness_options():
-    listener = server.listen("127.0.0.1", 0)
+    listener = hosting.bind("127.0.0.1", 0)
     with listener:
         server.prepare(listener)
         with path.socket.create_connection(listener.getsockname()):
--- a/tests/fakes/path.py
+++ b/tests/fakes/path.py
@@ -19,6 +19,7 @@
 from lovageyoke.caller import server
 from lovageyoke.clock import manual
 from lovageyoke.config import model
+from lovageyoke.serving import hosting
 from lovageyoke.transport import pool
 
 BOOKING_RULE = model.UnrepeatableRule(
@@ -105,7 +106,7 @@
     application = app.create(
         OneService(service), lambda _: policy, transport, claims, clock
     )
-    listener = server.listen("127.0.0.1", 0)
+    listener = hosting.bind("127.0.0.1", 0)
     port = listener.getsockname()[1]
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
