Move the store's interface and fake to a package of their own

What it held, the interface of the key-value service, its client, its fake and its rates, is the product's own and moves to the package store unchanged.

--- a/src/lovageyoke/bench/capacity.py
+++ b/src/lovageyoke/bench/capacity.py
@@ -16,9 +16,9 @@
 from lovageyoke.config import model
 from lovageyoke.config import updates
 from lovageyoke.entry import process
-from lovageyoke.platform import fake
-from lovageyoke.platform import store
 from lovageyoke.settings import model as settings_model
+from lovageyoke.store import fake
+from lovageyoke.store import store
 
 BYTES_PER_MB = 1_000_000
 US_PER_S = 1_000_000
--- a/src/lovageyoke/bench/claims.py
+++ b/src/lovageyoke/bench/claims.py
@@ -23,10 +23,10 @@
 from lovageyoke.membership import static
 from lovageyoke.peer import codec
 from lovageyoke.peer import fake as fake_peer
-from lovageyoke.platform import fake as fake_platform
-from lovageyoke.platform import faults
-from lovageyoke.platform import rates
-from lovageyoke.platform import store
+from lovageyoke.store import fake as fake_platform
+from lovageyoke.store import faults
+from lovageyoke.store import rates
+from lovageyoke.store import store
 
 ENTRY_COUNT = 16
 PLATFORM_LATENCY_MS = 3.0
--- a/src/lovageyoke/bench/config_fleet.py
+++ b/src/lovageyoke/bench/config_fleet.py
@@ -16,9 +16,9 @@
 from lovageyoke.membership import static
 from lovageyoke.peer import api as peer_api
 from lovageyoke.peer import fake as fake_peer
-from lovageyoke.platform import fake as fake_platform
-from lovageyoke.platform import faults
-from lovageyoke.platform import store as platform_store
+from lovageyoke.store import fake as fake_platform
+from lovageyoke.store import faults
+from lovageyoke.store import store as platform_store
 
 FAILURE_DOMAINS = 3
 HEARTBEAT_INTERVAL_MS = 1_000.0
--- a/src/lovageyoke/bench/membership_fleet.py
+++ b/src/lovageyoke/bench/membership_fleet.py
@@ -16,7 +16,7 @@
 from lovageyoke.membership import timing as timing_lib
 from lovageyoke.peer import api as peer_api
 from lovageyoke.peer import codec
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 LIST_POLL_MS = 5_000.0
 MAX_CONTACTS = 3
--- a/src/lovageyoke/bench/propagation.py
+++ b/src/lovageyoke/bench/propagation.py
@@ -17,8 +17,8 @@
 from lovageyoke.config import updates
 from lovageyoke.errors import exceptions
 from lovageyoke.membership import api as membership_api
-from lovageyoke.platform import faults
-from lovageyoke.platform import rates
+from lovageyoke.store import faults
+from lovageyoke.store import rates
 
 MS_PER_SECOND = 1_000
 SLOW_LATENCY_MS = 800.0
--- a/src/lovageyoke/cli/bench_propagation.py
+++ b/src/lovageyoke/cli/bench_propagation.py
@@ -12,7 +12,7 @@
 from lovageyoke.bench import propagation
 from lovageyoke.cli import bench
 from lovageyoke.cli import operator_access as output
-from lovageyoke.platform import rates
+from lovageyoke.store import rates
 
 HEADINGS = (
     "condition",
--- a/src/lovageyoke/cli/serve.py
+++ b/src/lovageyoke/cli/serve.py
@@ -17,9 +17,9 @@
 from lovageyoke.entry import process
 from lovageyoke.errors import exceptions
 from lovageyoke.observe import logs
-from lovageyoke.platform import http as platform_http
 from lovageyoke.settings import load
 from lovageyoke.settings import model
+from lovageyoke.store import http as platform_http
 
 
 @app.APP.command()
--- a/src/lovageyoke/cli/standin_platform.py
+++ b/src/lovageyoke/cli/standin_platform.py
@@ -10,13 +10,13 @@
 from lovageyoke.cli import signals
 from lovageyoke.cli import standin
 from lovageyoke.clock import system
-from lovageyoke.platform import api
-from lovageyoke.platform import fake
-from lovageyoke.platform import faults
-from lovageyoke.platform import rates
-from lovageyoke.platform import store
 from lovageyoke.serving import hosting
 from lovageyoke.standin import platform as standin_platform
+from lovageyoke.store import api
+from lovageyoke.store import fake
+from lovageyoke.store import faults
+from lovageyoke.store import rates
+from lovageyoke.store import store
 
 DEFAULT_PORT = 7700
 GRACEFUL_TIMEOUT_S = 0.2
--- a/src/lovageyoke/config/archive.py
+++ b/src/lovageyoke/config/archive.py
@@ -14,7 +14,7 @@
 from lovageyoke.config import document
 from lovageyoke.config import groups
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
+from lovageyoke.store import api
 
 SEGMENT_RECORDS = 16
 MAX_DOCUMENT_RECORDS = 32
--- a/src/lovageyoke/config/document.py
+++ b/src/lovageyoke/config/document.py
@@ -13,7 +13,7 @@
 
 from lovageyoke.config import model
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
+from lovageyoke.store import api
 
 FORMAT = 1
 COMPRESSION_LEVEL = 1
--- a/src/lovageyoke/config/follower.py
+++ b/src/lovageyoke/config/follower.py
@@ -21,7 +21,7 @@
 from lovageyoke.errors import exceptions
 from lovageyoke.membership import api as membership_api
 from lovageyoke.peer import api as peer_api
-from lovageyoke.platform import api
+from lovageyoke.store import api
 
 POLL_INTERVAL_MS = 2_000.0
 ASSIGN_INTERVAL_MS = 500.0
--- a/src/lovageyoke/config/source.py
+++ b/src/lovageyoke/config/source.py
@@ -12,8 +12,8 @@
 from lovageyoke.config import groups
 from lovageyoke.config import updates
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
-from lovageyoke.platform import rates
+from lovageyoke.store import api
+from lovageyoke.store import rates
 
 CALLS_PER_S = 40.0
 BURST_CALLS = 100.0
--- a/src/lovageyoke/config/store.py
+++ b/src/lovageyoke/config/store.py
@@ -17,7 +17,7 @@
 from lovageyoke.config import plan as plans
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
-from lovageyoke.platform import api
+from lovageyoke.store import api
 
 MAX_ATTEMPTS = 12
 FIRST_RETRY_MS = 5.0
--- a/src/lovageyoke/demo/scene.py
+++ b/src/lovageyoke/demo/scene.py
@@ -13,17 +13,17 @@
 from lovageyoke.clock import api as clock_api
 from lovageyoke.demo import intents
 from lovageyoke.entry import process
-from lovageyoke.platform import api as platform_api
-from lovageyoke.platform import fake
-from lovageyoke.platform import http as platform_http
-from lovageyoke.platform import rates
-from lovageyoke.platform import store
 from lovageyoke.probing import api as probing_api
 from lovageyoke.routing import api as routing_api
 from lovageyoke.serving import hosting
 from lovageyoke.settings import load
 from lovageyoke.standin import platform as standin_platform
 from lovageyoke.standin import upstream as standin_upstream
+from lovageyoke.store import api as platform_api
+from lovageyoke.store import fake
+from lovageyoke.store import http as platform_http
+from lovageyoke.store import rates
+from lovageyoke.store import store
 from lovageyoke.transport import api as transport_api
 
 ENTRIES = 3
--- a/src/lovageyoke/entry/fleet.py
+++ b/src/lovageyoke/entry/fleet.py
@@ -18,8 +18,8 @@
 from lovageyoke.membership import incarnation
 from lovageyoke.membership import messages
 from lovageyoke.membership import task
-from lovageyoke.platform import api as platform_api
 from lovageyoke.settings import model
+from lovageyoke.store import api as platform_api
 
 
 class Fleet:
--- a/src/lovageyoke/entry/process.py
+++ b/src/lovageyoke/entry/process.py
@@ -17,10 +17,10 @@
 from lovageyoke.observe import metrics
 from lovageyoke.operator import access
 from lovageyoke.operator import app as operator_app
-from lovageyoke.platform import api as platform_api
 from lovageyoke.security import tls
 from lovageyoke.serving import hosting
 from lovageyoke.settings import model
+from lovageyoke.store import api as platform_api
 from lovageyoke.supervisor import child
 from lovageyoke.supervisor import tree
 
--- a/src/lovageyoke/idempotency/fenced.py
+++ b/src/lovageyoke/idempotency/fenced.py
@@ -10,7 +10,7 @@
 from lovageyoke.errors import exceptions
 from lovageyoke.idempotency import budget as budget_lib
 from lovageyoke.idempotency import records
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 MIN_BACKOFF_MS = 5.0
 MAX_BACKOFF_MS = 500.0
--- a/src/lovageyoke/idempotency/key_per_claim.py
+++ b/src/lovageyoke/idempotency/key_per_claim.py
@@ -10,7 +10,7 @@
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import exceptions
 from lovageyoke.idempotency import api
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 KEY_PREFIX = "claims/key"
 MAX_TRIES = 4
--- a/src/lovageyoke/idempotency/service.py
+++ b/src/lovageyoke/idempotency/service.py
@@ -17,7 +17,7 @@
 from lovageyoke.idempotency import shards as shards_lib
 from lovageyoke.membership import api as membership_api
 from lovageyoke.peer import api as peer_api
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 CLAIM_TIMEOUT_MS = 2_000.0
 ASK_TIMEOUT_MS = 500.0
--- a/src/lovageyoke/idempotency/shards.py
+++ b/src/lovageyoke/idempotency/shards.py
@@ -17,7 +17,7 @@
 from lovageyoke.idempotency import owner as owner_lib
 from lovageyoke.membership import api as membership_api
 from lovageyoke.peer import api as peer_api
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 DEFAULT_SHARD_COUNT = 4
 DEFAULT_WRITES_PER_S = 160.0
--- a/src/lovageyoke/membership/listing.py
+++ b/src/lovageyoke/membership/listing.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 
 class Listing:
--- a/src/lovageyoke/membership/roster_keeper.py
+++ b/src/lovageyoke/membership/roster_keeper.py
@@ -14,7 +14,7 @@
 from lovageyoke.membership import roster as roster_lib
 from lovageyoke.membership import share as share_lib
 from lovageyoke.membership import state as state_lib
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 POLL_MS = 60_000.0
 RETRY_MS = 1_000.0
--- a/src/lovageyoke/membership/state.py
+++ b/src/lovageyoke/membership/state.py
@@ -18,7 +18,7 @@
 from lovageyoke.membership import table as table_lib
 from lovageyoke.membership import timing as timing_lib
 from lovageyoke.peer import api as peer_api
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 JITTER = 0.1
 MAX_CONTACTS_A_TICK = 3
--- a/src/lovageyoke/membership/task.py
+++ b/src/lovageyoke/membership/task.py
@@ -20,7 +20,7 @@
 from lovageyoke.membership import timing as timing_lib
 from lovageyoke.membership import view as view_lib
 from lovageyoke.peer import api as peer_api
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 LIST_MS = 5_000.0
 MAX_LIST_MS = 300_000.0
--- a/src/lovageyoke/operator/access.py
+++ b/src/lovageyoke/operator/access.py
@@ -10,8 +10,8 @@
 from lovageyoke.config import model
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
-from lovageyoke.platform import rates
 from lovageyoke.settings import model as settings_model
+from lovageyoke.store import rates
 
 ANY = "*"
 BEARER = "bearer "
--- a/src/lovageyoke/soak/config_platform.py
+++ b/src/lovageyoke/soak/config_platform.py
@@ -9,11 +9,11 @@
 from lovageyoke.config import document
 from lovageyoke.config import groups
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
-from lovageyoke.platform import fake
-from lovageyoke.platform import rates
-from lovageyoke.platform import store
 from lovageyoke.soak import config_invariants
+from lovageyoke.store import api
+from lovageyoke.store import fake
+from lovageyoke.store import rates
+from lovageyoke.store import store
 
 LATE_SHARE = 0.1
 MAX_LATE_MS = 1_500.0
--- a/src/lovageyoke/soak/config_run.py
+++ b/src/lovageyoke/soak/config_run.py
@@ -17,10 +17,10 @@
 from lovageyoke.config import plan as plans
 from lovageyoke.config import updates
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import faults
 from lovageyoke.soak import config_invariants
 from lovageyoke.soak import config_platform
 from lovageyoke.soak import invariants
+from lovageyoke.store import faults
 
 ENTRIES = 4
 OPERATORS = 3
--- a/src/lovageyoke/soak/fleet.py
+++ b/src/lovageyoke/soak/fleet.py
@@ -21,14 +21,14 @@
 from lovageyoke.peer import codec
 from lovageyoke.peer import fake as fake_peer
 from lovageyoke.peer import waiter
-from lovageyoke.platform import fake as fake_platform
-from lovageyoke.platform import faults
-from lovageyoke.platform import store
 from lovageyoke.soak import entry as entry_lib
 from lovageyoke.soak import gate as gate_lib
 from lovageyoke.soak import invariants
 from lovageyoke.soak import platform as soak_platform
 from lovageyoke.soak import trace as trace_lib
+from lovageyoke.store import fake as fake_platform
+from lovageyoke.store import faults
+from lovageyoke.store import store
 
 ENTRY_COUNT = 5
 SHARD_COUNT = 3
--- a/src/lovageyoke/soak/operators.py
+++ b/src/lovageyoke/soak/operators.py
@@ -11,9 +11,9 @@
 from lovageyoke.config import plan as plans
 from lovageyoke.config import store
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import fake as fake_platform
 from lovageyoke.soak import change_invariants
 from lovageyoke.soak import fleet as fleet_lib
+from lovageyoke.store import fake as fake_platform
 
 SERVICES = ("booking", "map", "archive")
 MAX_GAP_MS = 800.0
--- a/src/lovageyoke/soak/platform.py
+++ b/src/lovageyoke/soak/platform.py
@@ -13,9 +13,9 @@
 import attrs
 
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
 from lovageyoke.soak import gate as gate_lib
 from lovageyoke.soak import trace as trace_lib
+from lovageyoke.store import api
 
 Result = TypeVar("Result")
 CALL_TIMEOUT_MS = 300.0
--- a/src/lovageyoke/standin/platform.py
+++ b/src/lovageyoke/standin/platform.py
@@ -14,10 +14,10 @@
 from starlette import routing
 
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
-from lovageyoke.platform import fake
-from lovageyoke.platform import faults
-from lovageyoke.platform import wire
+from lovageyoke.store import api
+from lovageyoke.store import fake
+from lovageyoke.store import faults
+from lovageyoke.store import wire
 
 Endpoint = Callable[[requests.Request], Awaitable[responses.Response]]
 
--- a/src/lovageyoke/platform/fake.py
+++ b/src/lovageyoke/store/fake.py
@@ -9,10 +9,10 @@
 
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
-from lovageyoke.platform import faults
-from lovageyoke.platform import rates
-from lovageyoke.platform import store
+from lovageyoke.store import api
+from lovageyoke.store import faults
+from lovageyoke.store import rates
+from lovageyoke.store import store
 
 Result = TypeVar("Result")
 Kind = rates.CallKind
--- a/src/lovageyoke/platform/http.py
+++ b/src/lovageyoke/store/http.py
@@ -11,8 +11,8 @@
 import httpx
 
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
-from lovageyoke.platform import wire
+from lovageyoke.store import api
+from lovageyoke.store import wire
 
 MS_PER_SECOND = 1_000
 CONNECT_TIMEOUT_MS = 1_000
--- a/src/lovageyoke/platform/store.py
+++ b/src/lovageyoke/store/store.py
@@ -8,8 +8,8 @@
 import attrs
 
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
-from lovageyoke.platform import rates
+from lovageyoke.store import api
+from lovageyoke.store import rates
 
 VM_LIST_LAG_MS = 2_000.0
 MAX_KEY_BYTES = 512
--- a/src/lovageyoke/platform/wire.py
+++ b/src/lovageyoke/store/wire.py
@@ -13,7 +13,7 @@
 import cattrs
 
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
+from lovageyoke.store import api
 
 RECORD_PATH = "/v1/record"
 WATCH_PATH = "/v1/watch"
--- a/tests/config/test_audit.py
+++ b/tests/config/test_audit.py
@@ -16,9 +16,9 @@
 from lovageyoke.config import model
 from lovageyoke.config import store
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import fake
-from lovageyoke.platform import faults
-from lovageyoke.platform import store as platform_store
+from lovageyoke.store import fake
+from lovageyoke.store import faults
+from lovageyoke.store import store as platform_store
 
 CHANGES = 75
 
--- a/tests/config/test_follower.py
+++ b/tests/config/test_follower.py
@@ -17,7 +17,7 @@
 from lovageyoke.config import intent
 from lovageyoke.config import model
 from lovageyoke.membership import api as membership_api
-from lovageyoke.platform import faults
+from lovageyoke.store import faults
 
 TARGET_MS = 6_000
 
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -18,9 +18,9 @@
 from lovageyoke.config import store
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
-from lovageyoke.platform import fake
-from lovageyoke.platform import faults
-from lovageyoke.platform import store as platform_store
+from lovageyoke.store import fake
+from lovageyoke.store import faults
+from lovageyoke.store import store as platform_store
 
 
 def service(name="booking", **fields):
--- a/tests/entry/test_drains.py
+++ b/tests/entry/test_drains.py
@@ -10,7 +10,7 @@
 from lovageyoke.entry import drains
 from lovageyoke.membership import drains as drains_lib
 from lovageyoke.membership import listing
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 LEAVING = platform_api.Vm("u1", "127.0.0.1", platform_api.VmState.LEAVING)
 LIVE = platform_api.Vm("u1", "127.0.0.1", platform_api.VmState.LIVE)
--- a/tests/idempotency/conftest.py
+++ b/tests/idempotency/conftest.py
@@ -17,9 +17,9 @@
 from lovageyoke.membership import static
 from lovageyoke.peer import codec
 from lovageyoke.peer import fake as fake_peer
-from lovageyoke.platform import fake as fake_platform
-from lovageyoke.platform import faults
-from lovageyoke.platform import store
+from lovageyoke.store import fake as fake_platform
+from lovageyoke.store import faults
+from lovageyoke.store import store
 
 RETENTION_MS = 3_600_000
 
--- a/tests/idempotency/memory.py
+++ b/tests/idempotency/memory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
+from lovageyoke.store import api
 
 
 class MemoryPlatform(api.Platform):
--- a/tests/idempotency/test_open_log.py
+++ b/tests/idempotency/test_open_log.py
@@ -14,8 +14,8 @@
 from lovageyoke.idempotency import fenced
 from lovageyoke.idempotency import open_log
 from lovageyoke.idempotency import records
-from lovageyoke.platform import fake
-from lovageyoke.platform import store as platform_store
+from lovageyoke.store import fake
+from lovageyoke.store import store as platform_store
 
 SHARD = 0
 SHARDS = 1
--- a/tests/membership/test_over_sockets.py
+++ b/tests/membership/test_over_sockets.py
@@ -15,10 +15,10 @@
 from lovageyoke.membership import timing
 from lovageyoke.peer import codec
 from lovageyoke.peer import websocket
-from lovageyoke.platform import api as platform_api
-from lovageyoke.platform import fake
-from lovageyoke.platform import store
 from lovageyoke.serving import hosting
+from lovageyoke.store import api as platform_api
+from lovageyoke.store import fake
+from lovageyoke.store import store
 
 IDS = ("a", "b", "c")
 PATIENCE_S = 60
--- a/tests/membership/test_state.py
+++ b/tests/membership/test_state.py
@@ -12,7 +12,7 @@
 from lovageyoke.bench import membership_fleet
 from lovageyoke.membership import api
 from lovageyoke.membership import drains
-from lovageyoke.platform import api as platform_api
+from lovageyoke.store import api as platform_api
 
 State = api.MemberState
 
--- a/tests/membership/test_task.py
+++ b/tests/membership/test_task.py
@@ -21,10 +21,10 @@
 from lovageyoke.membership import timing as timing_lib
 from lovageyoke.peer import codec
 from lovageyoke.peer import fake
-from lovageyoke.platform import api as platform_api
-from lovageyoke.platform import fake as platform_fake
-from lovageyoke.platform import faults
-from lovageyoke.platform import store
+from lovageyoke.store import api as platform_api
+from lovageyoke.store import fake as platform_fake
+from lovageyoke.store import faults
+from lovageyoke.store import store
 
 IDS = ("a", "b", "c", "d")
 VMS = tuple(
--- a/tests/operator/test_app.py
+++ b/tests/operator/test_app.py
@@ -17,10 +17,10 @@
 from lovageyoke.operator import access
 from lovageyoke.operator import api
 from lovageyoke.operator import app
-from lovageyoke.platform import fake
-from lovageyoke.platform import faults
-from lovageyoke.platform import store as platform_store
 from lovageyoke.settings import model as settings_model
+from lovageyoke.store import fake
+from lovageyoke.store import faults
+from lovageyoke.store import store as platform_store
 
 INTENT = """
 name = "booking"
--- a/tests/soak/test_config_run.py
+++ b/tests/soak/test_config_run.py
@@ -14,9 +14,9 @@
 from lovageyoke.config import store
 from lovageyoke.config import view
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import store as platform_store
 from lovageyoke.soak import config_run
 from lovageyoke.soak import invariants
+from lovageyoke.store import store as platform_store
 
 DURATION_MS = 12_000.0
 SEEDS = (1, 2, 3)
--- a/tests/platform/test_fake.py
+++ b/tests/store/test_fake.py
@@ -8,10 +8,10 @@
 from testtools import matchers
 
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import fake
-from lovageyoke.platform import faults
-from lovageyoke.platform import rates
-from lovageyoke.platform import store
+from lovageyoke.store import fake
+from lovageyoke.store import faults
+from lovageyoke.store import rates
+from lovageyoke.store import store
 
 
 @pytest.fixture
--- a/tests/platform/test_http.py
+++ b/tests/store/test_http.py
@@ -12,13 +12,13 @@
 
 from lovageyoke.clock import system
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
-from lovageyoke.platform import fake
-from lovageyoke.platform import faults
-from lovageyoke.platform import http
-from lovageyoke.platform import store
 from lovageyoke.serving import hosting
 from lovageyoke.standin import platform as standin_platform
+from lovageyoke.store import api
+from lovageyoke.store import fake
+from lovageyoke.store import faults
+from lovageyoke.store import http
+from lovageyoke.store import store
 
 
 @contextlib.asynccontextmanager
--- a/tests/platform/test_store.py
+++ b/tests/store/test_store.py
@@ -7,9 +7,9 @@
 from testtools import matchers
 
 from lovageyoke.errors import exceptions
-from lovageyoke.platform import api
-from lovageyoke.platform import rates
-from lovageyoke.platform import store
+from lovageyoke.store import api
+from lovageyoke.store import rates
+from lovageyoke.store import store
 
 
 @pytest.fixture
