--- a/src/lovageyoke/clock/system.py
+++ b/src/lovageyoke/clock/system.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
-import anyio
-
 from lovageyoke.clock import api
 
 NANOSECONDS_PER_MS = 1_000_000
@@ -25,4 +24,4 @@
 
     async def sleep_ms(self, duration_ms: float) -> None:
         """Sleeps on the event loop."""
-        await anyio.sleep(max(0.0, duration_ms) / MS_PER_SECOND)
+        await asyncio.sleep(max(0.0, duration_ms) / MS_PER_SECOND)
--- a/src/lovageyoke/errors/exceptions.py
+++ b/src/lovageyoke/errors/exceptions.py
@@ -75,6 +75,18 @@
     default_kind = kinds.ErrorKind.PLAN_CONFLICT
 
 
+class RateLimitedError(PlatformUnavailableError):
+    """The platform refused the call because too many were made."""
+
+
+class HistoryGoneError(PlatformError):
+    """The changes since the given revision are no longer available."""
+
+
+class LeaseGoneError(PlatformError):
+    """The lease has ended."""
+
+
 class PeerError(LovageyokeError):
     """A peer channel failed or timed out."""
 
--- a/src/lovageyoke/errors/kinds.py
+++ b/src/lovageyoke/errors/kinds.py
@@ -10,6 +10,9 @@
 
     BAD_REQUEST = "bad-request"
     BODY_TOO_LARGE = "body-too-large"
+    HEAD_TOO_LARGE = "head-too-large"
+    REQUEST_TIMEOUT = "request-timeout"
+    NOT_CONFIGURED = "not-configured"
     UNKNOWN_SERVICE = "unknown-service"
     IDENTITY_MISSING = "identity-missing"
     IDENTITY_REUSED = "identity-reused"
@@ -24,6 +27,8 @@
     CONNECT_FAILED = "connect-failed"
     NOTHING_WRITTEN = "nothing-written"
     UPSTREAM_SHED = "upstream-shed"
+    UPSTREAM_MISDIRECTED = "upstream-misdirected"
+    UPSTREAM_FAILED = "upstream-failed"
     UPSTREAM_RESET = "upstream-reset"
     UPSTREAM_SILENT = "upstream-silent"
     UPSTREAM_PROTOCOL = "upstream-protocol"
--- a/src/lovageyoke/errors/table.py
+++ b/src/lovageyoke/errors/table.py
@@ -68,6 +68,11 @@
 ANSWERS: dict[kinds.ErrorKind, Answer] = {
     Kind.BAD_REQUEST: _not_run(400, "The request is malformed"),
     Kind.BODY_TOO_LARGE: _not_run(413, "The request body is too large"),
+    Kind.HEAD_TOO_LARGE: _not_run(431, "The request head is too large"),
+    Kind.REQUEST_TIMEOUT: _not_run(408, "The request came too slowly"),
+    Kind.NOT_CONFIGURED: _not_run(
+        503, "No configuration is known yet", Retry.NEVER, RETRY_AFTER_S
+    ),
     Kind.UNKNOWN_SERVICE: _not_run(404, "No service matches the request"),
     Kind.IDENTITY_MISSING: _not_run(
         400, "The request needs an idempotency identity"
@@ -108,6 +113,12 @@
     Kind.UPSTREAM_SHED: _not_run(
         503, "The upstream shed the request", Retry.ANY, RETRY_AFTER_S
     ),
+    Kind.UPSTREAM_MISDIRECTED: _not_run(
+        503, "Another upstream has the address", Retry.ANY, RETRY_AFTER_S
+    ),
+    Kind.UPSTREAM_FAILED: _unknown(
+        502, "The upstream failed", Retry.REPEATABLE
+    ),
     Kind.UPSTREAM_RESET: _unknown(
         502, "The upstream closed the connection", Retry.REPEATABLE
     ),
--- /dev/null
+++ b/src/lovageyoke/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What the processes of one deployment tell each other."""
--- /dev/null
+++ b/src/lovageyoke/fleet/registry.py
@@ -0,0 +1,147 @@
+"""Upstreams and configuration as the store's entries tell them.
+
+Pure state: it takes listings and changes in any order and never goes back to
+an older revision of a key or version of the configuration. An entry that
+vanished while the store was in trouble is kept until its upstream has had the
+time to register again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import math
+
+import attrs
+
+from lovageyoke.errors import exceptions
+from lovageyoke.routing import registry_model as model
+from lovageyoke.store import revisions
+
+RETURN_MS = 2_200.0  # Live upstreams register again within two seconds.
+MAX_TOMBSTONES = 2_000
+
+
+@attrs.define
+class Known:
+    """What is known of a key.
+
+    Attributes:
+        revision: Revision of its last change.
+        upstream: The upstream, None if it names none or is gone.
+        vanished_ms: When it vanished while the store was in trouble.
+    """
+
+    revision: int
+    upstream: model.Upstream | None = None
+    vanished_ms: float | None = None
+
+
+class Registry:
+    """The entries of upstreams, by key.
+
+    Attributes:
+        decode: Returns the upstream of a key and value.
+        known: What is known by key; deleted keys keep their revision.
+        trouble_ms: When the store last failed for anyone, as far as known.
+        rejected: Entries that named no upstream since the start.
+        on_rejected: Called with the error of such an entry.
+    """
+
+    def __init__(
+        self,
+        decode: Callable[[str, bytes], model.Upstream],
+        on_rejected: Callable[[str], None] = lambda _: None,
+    ) -> None:
+        self.decode = decode
+        self.known: dict[str, Known] = {}
+        self.trouble_ms = -math.inf
+        self.rejected = 0
+        self.on_rejected = on_rejected
+
+    def note_trouble(self, at_ms: float) -> None:
+        """Notes when the store failed."""
+        self.trouble_ms = max(self.trouble_ms, at_ms)
+
+    def in_trouble(self, now_ms: float) -> bool:
+        """Returns whether upstreams may still be about to register again."""
+        return now_ms - self.trouble_ms < RETURN_MS
+
+    def put(self, key: str, value: bytes, revision: int) -> bool:
+        """Takes an entry; returns whether the upstreams changed."""
+        known = self.known.get(key)
+        if known is not None and known.revision >= revision:
+            return False
+        before = known.upstream if known else None
+        try:
+            upstream = self.decode(key, value)
+        except exceptions.DecodeError as error:
+            self.rejected += 1
+            self.on_rejected(error.detail)
+            upstream = None
+        self.known[key] = Known(revision, upstream)
+        return upstream != before
+
+    def remove(self, key: str, revision: int, now_ms: float) -> bool:
+        """Takes a deletion; returns whether the upstreams changed."""
+        known = self.known.get(key)
+        if known is not None and known.revision >= revision:
+            return False
+        if known is None or known.upstream is None:
+            self.known[key] = Known(revision)
+            return False
+        known.revision = revision
+        if self.in_trouble(now_ms):
+            known.vanished_ms = now_ms
+            return False
+        known.upstream = None
+        return True
+
+    def replace(self, listing: revisions.Listing, now_ms: float) -> bool:
+        """Takes all entries; keys that are missing were deleted."""
+        changed = False
+        present = set()
+        for item in listing.items:
+            present.add(item.key)
+            changed |= self.put(item.key, item.value, item.revision)
+        for key, known in list(self.known.items()):
+            gone = key not in present and known.revision <= listing.revision
+            gone = gone and known.vanished_ms is None
+            if gone and known.upstream is not None:
+                changed |= self.remove(key, known.revision + 1, now_ms)
+        return changed
+
+    def settle(self, now_ms: float) -> bool:
+        """Removes what vanished in trouble and hasn't come back."""
+        if self.in_trouble(now_ms):
+            return False
+        changed = False
+        for known in self.known.values():
+            if known.vanished_ms is not None:
+                known.vanished_ms = None
+                known.upstream = None
+                changed = True
+        if len(self.known) > MAX_TOMBSTONES:
+            self.known = {
+                key: each
+                for key, each in self.known.items()
+                if each.upstream is not None
+            }
+        return changed
+
+    def upstreams(self) -> Iterable[model.Upstream]:
+        """Returns the upstreams; under one address only the newest start."""
+        newest: dict[tuple[str, int], Known] = {}
+        for known in self.known.values():
+            upstream = known.upstream
+            if upstream is None:
+                continue
+            address = (upstream.host, upstream.port)
+            other = newest.get(address)
+            if other is None or other.revision < known.revision:
+                newest[address] = known
+        return [
+            each.upstream
+            for each in newest.values()
+            if each.upstream is not None
+        ]
--- /dev/null
+++ b/src/lovageyoke/hop/connection.py
@@ -0,0 +1,381 @@
+"""A connection to an upstream or the store; one exchange at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import socket
+import typing
+
+import attrs
+import httptools
+
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.hop import messages
+
+STREAM_ABOVE_BYTES = 1_048_576  # Larger answers aren't held until complete.
+MAX_HEAD_BYTES = 65_536
+NO_BODY_STATUSES = frozenset({204, 304})
+USER_TIMEOUT_MS = 10_000  # A dead peer's connection ends within this time.
+
+Kind = kinds.ErrorKind
+
+
+class BodySink:
+    """Takes a response body while it comes.
+
+    ``start`` gets the response without its body, ``data`` each piece, and
+    ``pause`` tells whether the receiver is slow.
+    """
+
+    def start(self, response: messages.Response) -> None:
+        """Begins the answer."""
+        raise NotImplementedError
+
+    def data(self, piece: bytes) -> None:
+        """Passes on a piece of the body."""
+        raise NotImplementedError
+
+    async def drained(self) -> None:
+        """Waits until the receiver can take more."""
+        raise NotImplementedError
+
+
+@attrs.define
+class Exchange:
+    """The exchange that a connection is busy with.
+
+    Attributes:
+        request_id: Value that the response's identity header must have, None
+            if any response is the right one.
+        done: Gets the response or the error.
+        sink: Where a large body goes while it comes, if anywhere.
+        head_only: Whether the response has no body, as to HEAD.
+    """
+
+    request_id: bytes | None
+    done: asyncio.Future[messages.Response]
+    sink: BodySink | None = None
+    head_only: bool = False
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection, owned by whoever took it from its pool.
+
+    A response that bears another request's id is dropped, and the connection
+    is not used again. So is one that has sent bytes after its response, or
+    whose request was not completely written.
+
+    Attributes:
+        identity_header: Header that names the request of a response.
+        transport: The transport, None before the connection is made.
+        exchange: The exchange in progress, if any.
+        served: Responses that came over the connection.
+        idle_since_ms: Set by the pool when the connection is put back.
+        keep_alive_ms: How long the peer keeps it idle, None if not told.
+        closed: Whether it has ended.
+        spoiled: Whether it must not carry another request.
+        on_closed: Called when it ends.
+    """
+
+    def __init__(self, identity_header: bytes) -> None:
+        self.identity_header = identity_header
+        self.transport: asyncio.Transport | None = None
+        self.exchange: Exchange | None = None
+        self.served = 0
+        self.idle_since_ms = 0.0
+        self.keep_alive_ms: float | None = None
+        self.closed = False
+        self.spoiled = False
+        self.on_closed: Callable[[ClientConnection], None] | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.reset_message()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport and bounds how long a dead peer is trusted."""
+        # uvloop's transports don't derive from asyncio's.
+        self.transport = typing.cast("asyncio.Transport", transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails the exchange in progress."""
+        self.closed = True
+        self.fail(Kind.UPSTREAM_RESET, f"connection ended: {exc or 'closed'}")
+        if self.on_closed is not None:
+            self.on_closed(self)
+
+    def eof_received(self) -> bool:
+        """Completes a response whose length is the connection's end."""
+        self.spoiled = True
+        if self.exchange is not None and self.until_close:
+            self.complete()
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came; bytes without an exchange spoil the connection."""
+        if self.exchange is None:
+            self.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserCallbackError,
+        ) as error:
+            self.fail(Kind.UPSTREAM_PROTOCOL, f"malformed response: {error}")
+            self.abort()
+        except httptools.HttpParserUpgrade:
+            self.fail(Kind.UPSTREAM_PROTOCOL, "unasked protocol change")
+            self.abort()
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Begins a response; one without an exchange is surplus."""
+        self.reset_message()
+        if self.exchange is None:
+            self.spoiled = True
+
+    def on_status(self, reason: bytes) -> None:
+        """Takes the reason phrase."""
+        self.reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self.headers.append((name.lower(), value))
+        self.head_bytes += len(name) + len(value)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self.fail(Kind.UPSTREAM_PROTOCOL, "response head too large")
+            self.abort()
+
+    def on_headers_complete(self) -> None:
+        """Finds out whose response it is and how its body ends."""
+        self.status = self.parser.get_status_code()
+        if self.exchange is None or self.status < messages.FIRST_FINAL_STATUS:
+            return
+        if self.exchange.request_id is not None:
+            named = messages.first_value(self.headers, self.identity_header)
+            self.foreign = self.is_foreign(named, self.exchange.request_id)
+            if self.foreign:
+                self.spoiled = True
+        self.until_close = self.ends_with_connection(self.exchange)
+        if self.exchange.head_only and not self.foreign:
+            # The parser would wait for the body that the head announces.
+            self.spoiled = True
+            self.complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Keeps or streams a piece of the body."""
+        if self.exchange is None or self.foreign:
+            return
+        sink = self.exchange.sink
+        if self.streaming and sink is not None:
+            sink.data(body)
+            self.hold_for_receiver(sink)
+            return
+        self.pieces.append(body)
+        self.body_bytes += len(body)
+        if self.body_bytes > STREAM_ABOVE_BYTES and sink is not None:
+            self.start_streaming(sink)
+
+    def on_message_complete(self) -> None:
+        """Ends the exchange, unless the response isn't the awaited one."""
+        if (
+            self.exchange is None
+            or self.status < messages.FIRST_FINAL_STATUS
+            or self.foreign
+        ):
+            return
+        self.complete()
+
+    # Used by the owner
+
+    def begin(
+        self,
+        head: bytes,
+        body: bytes,
+        request_id: bytes | None,
+        sink: BodySink | None = None,
+        head_only: bool = False,
+    ) -> asyncio.Future[messages.Response]:
+        """Sends a request.
+
+        Args:
+            head: Request line and headers.
+            body: The whole body.
+            request_id: Identity that the response must bear, None for any.
+            sink: Where a large body goes while it comes.
+            head_only: Whether the response will have no body.
+
+        Returns:
+            A future of the response. It fails with ``UpstreamError``.
+        """
+        if self.transport is None:
+            raise exceptions.UpstreamError(
+                "the connection is not open", Kind.NOTHING_WRITTEN
+            )
+        done = asyncio.get_running_loop().create_future()
+        self.exchange = Exchange(request_id, done, sink, head_only)
+        self.transport.write(head + body if body else head)
+        return done
+
+    def usable(self) -> bool:
+        """Returns whether another request may be sent."""
+        return not (
+            self.closed
+            or self.spoiled
+            or self.exchange is not None
+            or self.transport is None
+            or self.transport.is_closing()
+            or self.transport.get_write_buffer_size() > 0
+        )
+
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        self.spoiled = True
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.abort()
+
+    def close(self) -> None:
+        """Ends an idle connection."""
+        self.spoiled = True
+        if self.transport is not None:
+            self.transport.close()
+
+    # Parts
+
+    def reset_message(self) -> None:
+        """Forgets the response that was parsed last."""
+        self.status = 0
+        self.reason = b""
+        self.headers: messages.Headers = []
+        self.head_bytes = 0
+        self.pieces: list[bytes] = []
+        self.body_bytes = 0
+        self.foreign = False
+        self.until_close = False
+        self.streaming = False
+
+    def is_foreign(self, named: bytes | None, awaited: bytes) -> bool:
+        """Returns whether a response belongs to another request.
+
+        A response without an id is taken only as the first one of a
+        connection, where no other request can have caused it.
+        """
+        if named is None:
+            return self.served > 0
+        return named != awaited
+
+    def ends_with_connection(self, exchange: Exchange) -> bool:
+        """Returns whether the end of the body is that of the connection."""
+        if exchange.head_only or self.status in NO_BODY_STATUSES:
+            return False
+        names = {name for name, _ in self.headers}
+        return not names & {b"content-length", b"transfer-encoding"}
+
+    def start_streaming(self, sink: BodySink) -> None:
+        """Hands the body so far to the sink, and all that follows."""
+        self.streaming = True
+        sink.start(self.response(b""))
+        for piece in self.pieces:
+            sink.data(piece)
+        self.pieces = []
+        self.hold_for_receiver(sink)
+
+    def hold_for_receiver(self, sink: BodySink) -> None:
+        """Reads no more until the sink's receiver has room."""
+        if self.transport is None:
+            return
+        self.transport.pause_reading()
+        task = asyncio.ensure_future(sink.drained())
+        task.add_done_callback(self.resume)
+
+    def resume(self, task: asyncio.Task[None]) -> None:
+        """Reads on after the receiver had room."""
+        if not task.cancelled() and task.exception() is None:
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.resume_reading()
+            return
+        self.abort()
+
+    def response(self, body: bytes) -> messages.Response:
+        """Returns the response that was parsed."""
+        return messages.Response(
+            self.status,
+            self.reason,
+            self.headers,
+            body,
+            streamed=self.streaming,
+        )
+
+    def complete(self) -> None:
+        """Ends the exchange with the response."""
+        exchange, self.exchange = self.exchange, None
+        if exchange is None:
+            return
+        self.served += 1
+        self.keep_alive_ms = told_idle_limit_ms(self.headers)
+        response = self.response(b"".join(self.pieces))
+        self.pieces = []
+        if self.until_close or not self.parser.should_keep_alive():
+            self.spoiled = True
+        response.reusable = not self.spoiled
+        if not exchange.done.done():
+            exchange.done.set_result(response)
+
+    def fail(self, kind: kinds.ErrorKind, detail: str) -> None:
+        """Ends the exchange with an error."""
+        if self.exchange is None:
+            return
+        exchange, self.exchange = self.exchange, None
+        self.spoiled = True
+        if self.status and self.pieces:
+            kind = Kind.RESPONSE_TRUNCATED
+        if not exchange.done.done():
+            exchange.done.set_exception(exceptions.UpstreamError(detail, kind))
+
+
+def told_idle_limit_ms(headers: messages.Headers) -> float | None:
+    """Returns the idle limit of a Keep-Alive header in ms, None if absent."""
+    value = messages.first_value(headers, b"keep-alive")
+    if value is None:
+        return None
+    for parameter in value.split(b","):
+        name, _, seconds = parameter.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.isdigit():
+            return int(seconds) * 1_000.0
+    return None
+
+
+async def connect(
+    host: str, port: int, identity_header: bytes, timeout_ms: float
+) -> ClientConnection:
+    """Opens a connection.
+
+    Args:
+        host: IP number.
+        port: TCP port.
+        identity_header: Header that names the request of a response.
+        timeout_ms: Longest time to wait, in milliseconds.
+
+    Raises:
+        UpstreamError: It could not be opened; nothing was sent.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_ms / 1_000.0):
+            _, connection = await loop.create_connection(
+                lambda: ClientConnection(identity_header), host, port
+            )
+    except (OSError, TimeoutError) as error:
+        raise exceptions.UpstreamError(
+            f"cannot connect to {host}:{port}: {error!r}", Kind.CONNECT_FAILED
+        ) from error
+    return connection
--- /dev/null
+++ b/src/lovageyoke/hop/server.py
@@ -0,0 +1,424 @@
+"""Connections from callers: reads requests, writes answers in order."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import collections
+from collections.abc import Callable
+import typing
+
+import attrs
+import httptools
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.errors import kinds
+from lovageyoke.errors import table
+from lovageyoke.hop import connection as hop_connection
+from lovageyoke.hop import messages
+from lovageyoke.routing import registry_model as model
+
+MAX_PIPELINED = 16  # Requests read ahead of the one that is answered.
+RESUME_BELOW_BYTES = 32_768
+HIGH_WATER_BYTES = 131_072
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class RequestHandler(abc.ABC):
+    """Answers the requests of callers."""
+
+    @abc.abstractmethod
+    async def handle(
+        self, request: messages.Request, caller: CallerConnection
+    ) -> None:
+        """Answers one request by ``caller.answer`` or ``caller.start``."""
+
+    @abc.abstractmethod
+    def limits(self) -> model.CallerLimits:
+        """Returns the bounds on callers that are in force."""
+
+    @abc.abstractmethod
+    def may_cancel(self, request: messages.Request) -> bool:
+        """Returns whether to give up a request whose caller has left."""
+
+    @abc.abstractmethod
+    def leaving(self) -> bool:
+        """Returns whether connections should end after their answer."""
+
+
+@attrs.define
+class Connections:
+    """The open connections of one listener.
+
+    Attributes:
+        open: The connections.
+        reading: Requests whose answer is not yet complete.
+    """
+
+    open: set[CallerConnection] = attrs.field(factory=set)
+    reading: int = 0
+
+    def close_idle(self) -> None:
+        """Ends the connections that carry no request."""
+        for connection in list(self.open):
+            if connection.idle():
+                connection.close()
+
+
+class CallerConnection(asyncio.Protocol, hop_connection.BodySink):
+    """One connection of a caller.
+
+    Attributes:
+        handler: Answers the requests.
+        clock: Source of time.
+        connections: The listener's open connections.
+        transport: The transport, None before the connection is made.
+        waiting: Whole requests that are not yet being answered.
+        task: Answers the current request, None without one.
+        current: The request that is being answered.
+        streaming: Whether a part of the current answer has been sent.
+        timer: Ends the connection when the caller is too slow.
+    """
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        clock: clock_api.Clock,
+        connections: Connections,
+    ) -> None:
+        self.handler = handler
+        self.clock = clock
+        self.connections = connections
+        self.transport: asyncio.Transport | None = None
+        self.waiting: collections.deque[messages.Request] = collections.deque()
+        self.task: asyncio.Task[None] | None = None
+        self.current: messages.Request | None = None
+        self.streaming = False
+        self.chunked = False
+        self.refused = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.room = asyncio.Event()
+        self.room.set()
+        self.parser = httptools.HttpRequestParser(self)
+        self.reset_message()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Waits for the first request."""
+        # uvloop's transports don't derive from asyncio's.
+        self.transport = typing.cast("asyncio.Transport", transport)
+        self.transport.set_write_buffer_limits(
+            high=HIGH_WATER_BYTES, low=RESUME_BELOW_BYTES
+        )
+        self.connections.open.add(self)
+        self.wait_for_request(self.handler.limits().header_timeout_ms)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Gives up the request in progress, if it may be given up."""
+        del exc
+        self.connections.open.discard(self)
+        self.stop_timer()
+        self.waiting.clear()
+        self.room.set()
+        if self.task is None or self.current is None:
+            return
+        if self.handler.may_cancel(self.current):
+            self.task.cancel()
+
+    def eof_received(self) -> bool:
+        """Treats the end of the caller's side as its leaving."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Notes that the caller reads slowly."""
+        self.room.clear()
+
+    def resume_writing(self) -> None:
+        """Notes that the caller has read."""
+        self.room.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came."""
+        if self.refused:
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.refuse_message(kinds.ErrorKind.BAD_REQUEST)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserCallbackError,
+        ):
+            self.refuse_message(kinds.ErrorKind.BAD_REQUEST)
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Begins a request."""
+        self.reset_message()
+        if self.current is None:
+            self.wait_for_request(self.handler.limits().header_timeout_ms)
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a piece of the request target."""
+        self.target += url
+        self.count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self.headers.append((name.lower(), value))
+        self.count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Checks the announced length and lets the body come."""
+        expected = messages.first_value(self.headers, b"expect")
+        if expected is not None and expected.lower() == b"100-continue":
+            self.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Keeps a piece of the body."""
+        self.body_bytes += len(body)
+        if self.body_bytes > self.handler.limits().body_bytes:
+            self.refuse_message(kinds.ErrorKind.BODY_TOO_LARGE)
+            return
+        self.pieces.append(body)
+
+    def on_message_complete(self) -> None:
+        """Takes a whole request."""
+        if self.refused:
+            return
+        request = messages.Request(
+            self.parser.get_method(),
+            self.target,
+            self.headers,
+            b"".join(self.pieces),
+            self.parser.should_keep_alive(),
+            self.clock.now_ms(),
+        )
+        self.reset_message()
+        self.stop_timer()
+        self.waiting.append(request)
+        if self.task is None:
+            self.start_next()
+        elif len(self.waiting) >= MAX_PIPELINED and self.transport is not None:
+            self.transport.pause_reading()
+
+    # Answers
+
+    def answer(self, response: messages.Response) -> None:
+        """Writes a whole answer."""
+        headers = answer_headers(response)
+        headers.append((b"content-length", str(len(response.body)).encode()))
+        self.write_head(response, headers)
+        if self.current is None or self.current.method != b"HEAD":
+            self.write(response.body)
+        self.finish()
+
+    def start(self, response: messages.Response) -> None:
+        """Begins an answer whose body follows piece by piece."""
+        self.streaming = True
+        headers = answer_headers(response)
+        length = response.header(b"content-length")
+        self.chunked = length is None
+        if length is not None:
+            headers.append((b"content-length", length))
+        else:
+            headers.append((b"transfer-encoding", b"chunked"))
+        self.write_head(response, headers)
+
+    def data(self, piece: bytes) -> None:
+        """Writes a piece of the body of an answer that was begun."""
+        if self.chunked:
+            piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+        self.write(piece)
+
+    def end(self) -> None:
+        """Completes an answer that was begun."""
+        if self.chunked:
+            self.write(b"0\r\n\r\n")
+        self.finish()
+
+    async def drained(self) -> None:
+        """Waits until the caller has read most of what was written."""
+        await self.room.wait()
+
+    def abort(self) -> None:
+        """Breaks the connection, so that no answer looks complete."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    # Parts
+
+    def gone(self) -> bool:
+        """Returns whether the caller has left."""
+        return self.transport is None or self.transport.is_closing()
+
+    def idle(self) -> bool:
+        """Returns whether no request has begun to arrive."""
+        return self.task is None and not self.waiting and not self.target
+
+    def close(self) -> None:
+        """Ends the connection after what was written."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def write(self, data: bytes) -> None:
+        """Writes to a caller that is still there."""
+        if data and self.transport is not None and not self.gone():
+            self.transport.write(data)
+
+    def write_head(
+        self, response: messages.Response, headers: messages.Headers
+    ) -> None:
+        """Writes the head of an answer."""
+        if self.ends_after_answer():
+            headers.append((b"connection", b"close"))
+        start = b"HTTP/1.1 %d %b" % (response.status, response.reason)
+        self.write(messages.encode_head(start, headers))
+
+    def ends_after_answer(self) -> bool:
+        """Returns whether the connection ends after the current answer."""
+        if self.current is None or not self.current.keep_alive:
+            return True
+        return self.handler.leaving() and not self.waiting
+
+    def start_next(self) -> None:
+        """Begins to answer the next whole request."""
+        self.current = self.waiting.popleft()
+        self.streaming = False
+        self.connections.reading += 1
+        self.task = asyncio.ensure_future(self.run(self.current))
+
+    async def run(self, request: messages.Request) -> None:
+        """Answers one request, then the next."""
+        try:
+            await self.handler.handle(request, self)
+        finally:
+            self.connections.reading -= 1
+            self.task = None
+            ends = self.ends_after_answer()
+            self.current = None
+            if self.gone():
+                self.waiting.clear()
+            elif ends:
+                self.close()
+            else:
+                self.go_on()
+
+    def go_on(self) -> None:
+        """Answers the next request, or waits for one."""
+        if self.waiting:
+            self.start_next()
+            if self.transport is not None:
+                self.transport.resume_reading()
+            return
+        if not self.target:
+            self.wait_for_request(self.handler.limits().idle_timeout_ms)
+
+    def finish(self) -> None:
+        """Notes that the current answer is complete."""
+        self.streaming = False
+
+    def count_head(self, size: int) -> None:
+        """Refuses a head that is too large."""
+        self.head_bytes += size
+        if self.head_bytes > self.handler.limits().header_bytes:
+            self.refuse_message(kinds.ErrorKind.HEAD_TOO_LARGE)
+
+    def refuse_message(self, kind: kinds.ErrorKind) -> None:
+        """Answers a message that can't be taken, and ends the connection."""
+        if self.refused:
+            return
+        self.refused = True
+        self.stop_timer()
+        if self.task is None and not self.waiting:
+            self.current = None
+            self.answer(error_response(kind))
+            self.close()
+            return
+        # The answer to an earlier request is still due; no more is read.
+        if self.current is not None:
+            self.current.keep_alive = False
+        self.waiting.clear()
+
+    def wait_for_request(self, timeout_ms: float) -> None:
+        """Ends the connection unless a whole request comes in time."""
+        self.stop_timer()
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(timeout_ms / 1_000.0, self.too_slow)
+
+    def too_slow(self) -> None:
+        """Ends a connection whose caller sends nothing, or too slowly."""
+        self.timer = None
+        if self.target and not self.gone():
+            self.refuse_message(kinds.ErrorKind.REQUEST_TIMEOUT)
+        else:
+            self.close()
+
+    def stop_timer(self) -> None:
+        """Stops waiting for the caller."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def reset_message(self) -> None:
+        """Forgets the request that was parsed last."""
+        self.target = b""
+        self.headers: messages.Headers = []
+        self.head_bytes = 0
+        self.pieces: list[bytes] = []
+        self.body_bytes = 0
+
+
+def answer_headers(response: messages.Response) -> messages.Headers:
+    """Returns the headers of a response that pass to the caller."""
+    return [
+        each
+        for each in messages.end_to_end(response.headers)
+        if each[0] != b"content-length"
+    ]
+
+
+def error_response(
+    kind: kinds.ErrorKind, retry_after_ms: float | None = None
+) -> messages.Response:
+    """Returns the answer for an error.
+
+    Args:
+        kind: The error.
+        retry_after_ms: When to come back, in milliseconds; only sent for
+            errors that allow it.
+    """
+    answer = table.answer_for(kind)
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (table.OUTCOME_HEADER.encode(), answer.outcome.value.encode()),
+    ]
+    if answer.retry_after_s is not None:
+        seconds = float(answer.retry_after_s)
+        if retry_after_ms is not None:
+            seconds = retry_after_ms / 1_000.0
+        headers.append((b"retry-after", f"{seconds:.3f}".encode()))
+    body = f"{answer.title}.\n".encode()
+    return messages.Response(answer.status, kind.value.encode(), headers, body)
+
+
+Factory = Callable[[], CallerConnection]
+
+
+async def listen(
+    factory: Factory, host: str, port: int, backlog: int = 512
+) -> asyncio.Server:
+    """Accepts connections on an address.
+
+    Args:
+        factory: Makes the protocol of each connection.
+        host: IP number.
+        port: TCP port.
+        backlog: Connections that may wait to be accepted.
+    """
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        factory, host, port, backlog=backlog, reuse_address=True
+    )
--- /dev/null
+++ b/src/lovageyoke/node/__init__.py
@@ -0,0 +1,1 @@
+"""The process that forwards requests on the users' platform."""
--- /dev/null
+++ b/src/lovageyoke/node/forwarder.py
@@ -0,0 +1,211 @@
+"""Answers callers: finds the route, sends the request on, tells the end."""
+
+from __future__ import annotations
+
+import attrs
+
+from lovageyoke.errors import kinds
+from lovageyoke.errors import table
+from lovageyoke.hop import messages
+from lovageyoke.hop import server as hop_server
+from lovageyoke.node import race as node_race
+from lovageyoke.node import state as node_state
+from lovageyoke.routing import registry_model as model
+
+DEFAULT_WAIT_MS = 60_000.0  # For callers that tell no deadline.
+RETRY_LEAST_MS = 40.0
+RETRY_MOST_MS = 250.0  # Paces change within this time.
+
+Kind = kinds.ErrorKind
+
+
+@attrs.define
+class Counters:
+    """What the forwarder did since the start.
+
+    Attributes:
+        requests: Requests of callers.
+        answers: Answers by status.
+        errors: Own error answers by kind.
+        abandoned: Requests whose caller left.
+    """
+
+    requests: int = 0
+    answers: dict[int, int] = attrs.field(factory=dict)
+    errors: dict[str, int] = attrs.field(factory=dict)
+    abandoned: int = 0
+
+
+class Forwarder(hop_server.RequestHandler):
+    """Forwards the requests of callers to upstreams.
+
+    Attributes:
+        node: What the process knows.
+        decode_deadline: Decodes the header that tells a caller's deadline.
+        counters: What it did.
+    """
+
+    def __init__(
+        self,
+        node: node_state.NodeState,
+        decode_deadline: node_state.DecodeDeadline,
+    ) -> None:
+        self.node = node
+        self.decode_deadline = decode_deadline
+        self.counters = Counters()
+
+    async def handle(
+        self, request: messages.Request, caller: hop_server.CallerConnection
+    ) -> None:
+        """Answers one request."""
+        self.counters.requests += 1
+        route = self.route_of(request)
+        if isinstance(route, kinds.ErrorKind):
+            self.refuse(request, caller, route, None)
+            return
+        service = self.node.dealer.pick(route, self.node.rng.random())
+        now_ms = self.node.clock.now_ms()
+        self.node.budget(service).record_request(now_ms)
+        race = self.race(request, route, service, caller)
+        try:
+            outcome = await race.run()
+        except BaseException:
+            self.counters.abandoned += 1
+            self.log_end(race, "abandoned")
+            if caller.streaming:
+                caller.abort()
+            raise
+        self.finish(race, outcome, caller)
+
+    def limits(self) -> model.CallerLimits:
+        """Returns the bounds on callers that are in force."""
+        configuration = self.node.configuration
+        return configuration.limits if configuration else model.CallerLimits()
+
+    def may_cancel(self, request: messages.Request) -> bool:
+        """Returns whether to give up a request whose caller has left."""
+        route = self.route_of(request)
+        return isinstance(route, kinds.ErrorKind) or route.idempotent
+
+    def leaving(self) -> bool:
+        """Returns whether connections should end after their answer."""
+        return self.node.leaving
+
+    def route_of(
+        self, request: messages.Request
+    ) -> model.Route | kinds.ErrorKind:
+        """Returns the route of a request, or why it has none."""
+        if self.node.table is None or not self.node.upstreams_known:
+            return Kind.NOT_CONFIGURED
+        hosts = [value for name, value in request.headers if name == b"host"]
+        if len(hosts) != 1:
+            return Kind.BAD_REQUEST
+        route = self.node.table.find(hosts[0].decode("latin-1"), request.path)
+        return Kind.UNKNOWN_SERVICE if route is None else route
+
+    def race(
+        self,
+        request: messages.Request,
+        route: model.Route,
+        service: str,
+        caller: hop_server.CallerConnection,
+    ) -> node_race.Race:
+        """Returns the race that answers a request."""
+        told_ms = self.decode_deadline(
+            request.header(self.node.client.names.deadline)
+        )
+        wait_ms = min(
+            route.timeout_ms, DEFAULT_WAIT_MS if told_ms is None else told_ms
+        )
+        sending = self.node.client.prepare(
+            request, route.idempotent, request.arrived_ms + wait_ms
+        )
+        return node_race.Race(self.node, sending, route, service, caller)
+
+    def finish(
+        self,
+        race: node_race.Race,
+        outcome: node_race.Outcome,
+        caller: hop_server.CallerConnection,
+    ) -> None:
+        """Tells the caller how its request ended."""
+        response = outcome.response
+        if response is None:
+            kind = outcome.kind or Kind.INTERNAL
+            if caller.streaming:
+                self.log_end(race, kind.value)
+                caller.abort()
+                return
+            self.refuse(race.sending.request, caller, kind, race)
+            return
+        self.count_answer(response.status)
+        if (
+            response.status >= messages.FIRST_SERVER_ERROR_STATUS
+            or race.sends > 1
+        ):
+            self.log_end(race, f"status {response.status}")
+        if response.streamed:
+            caller.end()
+        else:
+            caller.answer(response)
+
+    def refuse(
+        self,
+        request: messages.Request,
+        caller: hop_server.CallerConnection,
+        kind: kinds.ErrorKind,
+        race: node_race.Race | None,
+    ) -> None:
+        """Answers with an error of this process."""
+        response = hop_server.error_response(kind, self.retry_after_ms(kind))
+        identity = request.header(self.node.client.names.request_id)
+        if identity is not None:
+            response.headers.append(
+                (self.node.client.names.request_id, identity)
+            )
+        self.count_answer(response.status)
+        name = kind.value
+        self.counters.errors[name] = self.counters.errors.get(name, 0) + 1
+        if race is not None:
+            self.log_end(race, name)
+        else:
+            self.node.log.event(
+                "refused",
+                request=(identity or b"").decode("latin-1"),
+                kind=name,
+                path=request.path[:200],
+                configuration=self.version(),
+            )
+        caller.answer(response)
+
+    def retry_after_ms(self, kind: kinds.ErrorKind) -> float | None:
+        """Returns when a refused caller should come back."""
+        if table.answer_for(kind).retry_after_s is None:
+            return None
+        return self.node.rng.uniform(RETRY_LEAST_MS, RETRY_MOST_MS)
+
+    def count_answer(self, status: int) -> None:
+        """Counts an answer."""
+        answers = self.counters.answers
+        answers[status] = answers.get(status, 0) + 1
+
+    def version(self) -> int:
+        """Returns the version of the configuration in force."""
+        configuration = self.node.configuration
+        return configuration.version if configuration else 0
+
+    def log_end(self, race: node_race.Race, outcome: str) -> None:
+        """Logs what happened to a request."""
+        identity = race.sending.request_id or b""
+        now_ms = self.node.clock.now_ms()
+        self.node.log.event(
+            "request",
+            request=identity.decode("latin-1"),
+            outcome=outcome,
+            route=race.route.name,
+            service=race.service,
+            configuration=self.version(),
+            took_ms=round(now_ms - race.arrived_ms),
+            deadline_ms=round(race.sending.deadline_ms - race.arrived_ms),
+            story=race.story,
+        )
--- /dev/null
+++ b/src/lovageyoke/node/process.py
@@ -0,0 +1,372 @@
+"""Puts the forwarding process together and runs it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import signal
+
+import attrs
+
+from lovageyoke.fleet import directory as fleet_directory
+from lovageyoke.fleet import follower as fleet_follower
+from lovageyoke.fleet import link as fleet_link
+from lovageyoke.fleet import messages as fleet_messages
+from lovageyoke.hop import messages
+from lovageyoke.hop import server as hop_server
+from lovageyoke.node import forwarder as node_forwarder
+from lovageyoke.node import prober as node_prober
+from lovageyoke.node import state as node_state
+from lovageyoke.routing import registry_model as model
+from lovageyoke.store import revisions
+
+HEARTBEAT_MS = 100.0  # Much shorter than an upstream's pace lasts.
+TIDY_MS = 1_000.0
+STOP_MARGIN_MS = 600.0  # What is left of the grace when the process ends.
+LINGER_MS = 3_000.0  # Callers may still come for a while after the signal.
+LEASE_MS = 60_000.0  # Processes find each other by it, not who is alive.
+
+
+@attrs.frozen
+class Dialect:
+    """How this process is asked for addresses and readiness.
+
+    Attributes:
+        decode_query: Returns what a request asks of the directory, if
+            anything.
+        encode_addresses: Returns the directory's answer.
+        is_readiness: Whether a request asks for readiness.
+        decode_node: Returns the process of an entry's value.
+        encode_node: Returns the value of a process's entry.
+        node_prefix: Start of the keys of the processes' entries.
+    """
+
+    decode_query: Callable[
+        [messages.Request], fleet_directory.AddressQuery | None
+    ]
+    encode_addresses: Callable[[list[str], float], messages.Response]
+    is_readiness: Callable[[messages.Request], bool]
+    decode_node: Callable[[bytes], fleet_messages.Peer]
+    encode_node: Callable[[fleet_messages.Peer], bytes]
+    node_prefix: str
+
+
+class Front(hop_server.RequestHandler):
+    """Answers what callers ask before they send requests.
+
+    Attributes:
+        node: What the process knows.
+        dialect: How it is asked.
+    """
+
+    def __init__(self, node: node_state.NodeState, dialect: Dialect) -> None:
+        self.node = node
+        self.dialect = dialect
+
+    async def handle(
+        self, request: messages.Request, caller: hop_server.CallerConnection
+    ) -> None:
+        """Answers one request."""
+        caller.answer(self.respond(request))
+
+    def respond(self, request: messages.Request) -> messages.Response:
+        """Returns the answer to a request."""
+        if self.dialect.is_readiness(request):
+            if self.node.ready:
+                return messages.Response(200, b"OK", [], b"ready\n")
+            return messages.Response(503, b"not-ready", [], b"not ready\n")
+        query = self.dialect.decode_query(request)
+        if query is None:
+            return messages.Response(404, b"not-found", [], b"not found\n")
+        addresses = fleet_directory.addresses(
+            self.node.members,
+            query,
+            self.node.ready,
+            self.node.clock.now_ms(),
+            self.node.rng,
+        )
+        if not addresses:
+            return messages.Response(503, b"not-ready", [], b"no address\n")
+        lifetime_ms = min(
+            fleet_directory.LIFETIME_MS,
+            self.node.settings.bounds.lifetime_most_ms,
+        )
+        return self.dialect.encode_addresses(addresses, lifetime_ms)
+
+    def limits(self) -> model.CallerLimits:
+        """Returns the bounds on callers."""
+        return model.CallerLimits()
+
+    def may_cancel(self, request: messages.Request) -> bool:
+        """Returns whether to give up a request whose caller has left."""
+        del request
+        return True
+
+    def leaving(self) -> bool:
+        """Returns whether connections should end after their answer."""
+        return self.node.leaving
+
+
+class NodeProcess:
+    """The whole process.
+
+    Attributes:
+        node: What it knows.
+        store: The store.
+        dialect: How it is asked for addresses and readiness.
+        forwarder: Answers callers.
+        follower: Follows the store.
+        prober: Checks upstreams.
+        link: Speaks to the other processes.
+        connections: Callers' connections.
+        started_ms: Unix time of the start.
+        turn: Counts the messages sent to all.
+        stopping: Set when the process has to stop.
+    """
+
+    def __init__(
+        self,
+        node: node_state.NodeState,
+        store: revisions.RevisionStore,
+        layout: fleet_follower.Layout,
+        dialect: Dialect,
+        decode_deadline: node_state.DecodeDeadline,
+    ) -> None:
+        self.node = node
+        self.store = store
+        self.dialect = dialect
+        self.forwarder = node_forwarder.Forwarder(node, decode_deadline)
+        self.follower = fleet_follower.Follower(
+            store=store,
+            layout=layout,
+            members=node.members,
+            clock=node.clock,
+            log=node.log,
+            rng=node.rng,
+            on_configuration=self.configuration_changed,
+            on_upstreams=self.upstreams_changed,
+            broadcast=self.broadcast,
+        )
+        self.prober = node_prober.Prober(node)
+        self.link = fleet_link.PeerLink(self.hear, self.neighbours)
+        self.connections = hop_server.Connections()
+        self.front_connections = hop_server.Connections()
+        self.started_ms = node.clock.wall_ms()
+        self.turn = 0
+        self.stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Runs until a signal to stop, then ends in order."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        settings = self.node.settings
+        await loop.create_datagram_endpoint(
+            lambda: self.link,
+            local_addr=(settings.peers.host, settings.peers.port),
+        )
+        await self.listen()
+        self.node.log.event("start", started_ms=self.started_ms)
+        tasks = [
+            asyncio.ensure_future(each)
+            for each in (
+                self.follower.run(),
+                self.join(),
+                self.prober.run(),
+                self.beat(),
+                self.tidy(),
+            )
+        ]
+        stopped = asyncio.ensure_future(self.stopping.wait())
+        done, _ = await asyncio.wait(
+            [*tasks, stopped], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if task is not stopped:
+                # A duty that ends has failed; the process starts anew.
+                task.result()
+        await self.finish()
+        self.node.log.event("stop")
+
+    async def listen(self) -> None:
+        """Opens the listeners."""
+        node = self.node
+        settings = node.settings
+        await hop_server.listen(
+            lambda: hop_server.CallerConnection(
+                self.forwarder, node.clock, self.connections
+            ),
+            settings.front.host,
+            settings.front.port,
+        )
+        front = Front(node, self.dialect)
+        for address in (settings.readiness, settings.directory):
+            if address is None:
+                continue
+            await hop_server.listen(
+                lambda: hop_server.CallerConnection(
+                    front, node.clock, self.front_connections
+                ),
+                address.host,
+                address.port,
+            )
+
+    # Tasks
+
+    async def join(self) -> None:
+        """Registers this process, then finds the others.
+
+        Of two that start together, at least the later one to register sees
+        the other.
+        """
+        own = self.node.members.own
+        registration = fleet_follower.Registration(
+            store=self.store,
+            key=self.dialect.node_prefix + own.node_id,
+            value=self.dialect.encode_node(own),
+            ttl_ms=max(LEASE_MS, self.node.settings.min_lease_ms),
+            clock=self.node.clock,
+            log=self.node.log,
+            rng=self.node.rng,
+        )
+        await registration.register()
+        await fleet_follower.find_peers(
+            store=self.store,
+            prefix=self.dialect.node_prefix,
+            decode=self.dialect.decode_node,
+            members=self.node.members,
+            clock=self.node.clock,
+            log=self.node.log,
+        )
+        await registration.run()
+
+    async def beat(self) -> None:
+        """Sends heartbeats until cancelled."""
+        while True:
+            self.send_heartbeat()
+            await self.node.clock.sleep_ms(HEARTBEAT_MS)
+
+    async def tidy(self) -> None:
+        """Closes what was idle for too long, and forgets the silent."""
+        while True:
+            await self.node.clock.sleep_ms(TIDY_MS)
+            now_ms = self.node.clock.now_ms()
+            self.node.client.pool.expire(now_ms)
+            self.node.members.forget_silent(now_ms)
+
+    # Messages
+
+    def send_heartbeat(self) -> None:
+        """Tells all other processes what is new."""
+        self.broadcast(self.heartbeat())
+
+    def broadcast(self, message: fleet_messages.Message) -> None:
+        """Sends a message to all others, by a relay in each other domain."""
+        self.turn += 1
+        direct = fleet_messages.encode(message)
+        for address in self.neighbours():
+            self.link.send(direct, address)
+        relayed = fleet_messages.encode(message, relay=True)
+        now_ms = self.node.clock.now_ms()
+        for member in self.node.members.relays(self.turn, now_ms):
+            self.link.send(relayed, (member.peer.host, member.peer.port))
+
+    def neighbours(self) -> list[fleet_link.Address]:
+        """Returns the addresses of the processes in this failure domain."""
+        return [
+            (each.peer.host, each.peer.port)
+            for each in self.node.members.neighbours()
+        ]
+
+    def heartbeat(self) -> fleet_messages.Heartbeat:
+        """Returns the next heartbeat."""
+        node = self.node
+        now_ms = node.clock.now_ms()
+        revision, since, fresh_age_ms, changes = self.follower.news(now_ms)
+        trouble_ms = now_ms - self.follower.registry.trouble_ms
+        configuration = node.configuration
+        return fleet_messages.Heartbeat(
+            peer=node.members.own,
+            started_ms=self.started_ms,
+            ready=node.ready,
+            leaving=node.leaving,
+            configuration_version=(
+                configuration.version if configuration else 0
+            ),
+            store_ok=self.follower.store_ok,
+            trouble_age_ms=round(min(trouble_ms, 600_000.0)),
+            revision=revision,
+            since_revision=since,
+            fresh_age_ms=fresh_age_ms,
+            changes=changes,
+            reports=node.reports_to_send(now_ms),
+        )
+
+    def hear(
+        self, message: fleet_messages.Message, address: fleet_link.Address
+    ) -> None:
+        """Takes a message of another process."""
+        del address  # A relay's, perhaps.
+        now_ms = self.node.clock.now_ms()
+        members = self.node.members
+        if isinstance(message, fleet_messages.ConfigurationNews):
+            self.follower.hear_configuration(message)
+            return
+        if isinstance(message, fleet_messages.Introduction):
+            for peer in message.peers:
+                members.learn(peer, now_ms)
+            return
+        if members.hear(message, now_ms):
+            self.introduce(message.peer)
+        self.follower.hear(message, now_ms)
+        for report in message.reports:
+            self.node.hear_report(report, now_ms)
+
+    def introduce(self, newcomer: fleet_messages.Peer) -> None:
+        """Tells a process that is new here of all others."""
+        peers = tuple(each.peer for each in self.node.members.others.values())
+        message = fleet_messages.Introduction(peers)
+        self.link.send(
+            fleet_messages.encode(message), (newcomer.host, newcomer.port)
+        )
+
+    # Changes
+
+    def configuration_changed(self, configuration: model.Configuration) -> None:
+        """Puts a configuration in force."""
+        self.node.use_configuration(configuration)
+
+    def upstreams_changed(self, upstreams: list[model.Upstream]) -> None:
+        """Takes the list of upstreams."""
+        before = set(self.node.client.pool.idle)
+        self.node.use_upstreams(upstreams)
+        known = {each.key for each in upstreams if not each.draining}
+        for key in before - known:
+            self.node.client.pool.drop(key)
+
+    # Signals
+
+    def stop(self) -> None:
+        """Begins to stop."""
+        self.node.leaving = True
+        self.stopping.set()
+
+    def reload(self) -> None:
+        """Notes that the settings may have changed."""
+        self.node.log.event("reload")
+
+    async def finish(self) -> None:
+        """Lets callers go elsewhere and ends what is in progress."""
+        node = self.node
+        began_ms = node.clock.now_ms()
+        end_ms = began_ms + node.settings.bounds.grace_ms - STOP_MARGIN_MS
+        node.log.event("stopping", connections=len(self.connections.open))
+        self.send_heartbeat()
+        while node.clock.now_ms() < end_ms:
+            lingered = node.clock.now_ms() - began_ms >= LINGER_MS
+            if lingered and not self.connections.open:
+                break
+            if lingered and self.connections.reading == 0:
+                self.connections.close_idle()
+            await node.clock.sleep_ms(20.0)
--- /dev/null
+++ b/src/lovageyoke/node/race.py
@@ -0,0 +1,357 @@
+"""One caller's request on its way through the attempts that it needs."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.errors import table
+from lovageyoke.hop import attempt as hop_attempt
+from lovageyoke.hop import messages
+from lovageyoke.hop import server as hop_server
+from lovageyoke.node import state as node_state
+from lovageyoke.retry import progress as retry_progress
+from lovageyoke.routing import load_view
+from lovageyoke.routing import placement
+from lovageyoke.routing import registry_model as model
+
+LOOK_MS = 30.0  # How often running attempts are compared with others.
+ABANDONED = 2.0  # An attempt this far past its work has failed its caller.
+MS_PER_SECOND = 1_000.0
+
+Kind = kinds.ErrorKind
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One sending of the request.
+
+    Attributes:
+        view: The upstream.
+        task: Sends it.
+        delivery: What became of it so far.
+        progress: How far it should have come.
+        hedge: Whether another attempt was running when it began.
+    """
+
+    view: load_view.UpstreamView
+    task: asyncio.Task[messages.Response]
+    delivery: hop_attempt.Delivery
+    progress: retry_progress.Progress
+    hedge: bool
+
+
+@attrs.frozen
+class Outcome:
+    """The end of a request.
+
+    Attributes:
+        response: An upstream's response, None if there is none to pass on.
+        kind: The error to answer with if there is no response.
+    """
+
+    response: messages.Response | None
+    kind: kinds.ErrorKind | None = None
+
+
+class Race:
+    """Sends a request to upstreams until one answers it.
+
+    Attributes:
+        node: What the process knows.
+        sending: The request.
+        route: Its route.
+        service: The service that serves it.
+        arrived_ms: When it came.
+        sink: Where a large body goes while it comes.
+        running: The attempts in progress.
+        tried: Upstreams that it was sent to.
+        sends: How often it was sent.
+        may_have_run: Whether an upstream may have run it.
+        last_kind: Error of the last failed attempt.
+        last_response: Failure that an upstream answered last.
+        story: What happened, for the log.
+    """
+
+    def __init__(
+        self,
+        node: node_state.NodeState,
+        sending: hop_attempt.Sending,
+        route: model.Route,
+        service: str,
+        sink: hop_server.CallerConnection | None,
+    ) -> None:
+        self.node = node
+        self.sending = sending
+        self.route = route
+        self.service = service
+        self.arrived_ms = sending.request.arrived_ms
+        self.sink = sink
+        self.running: list[Attempt] = []
+        self.tried: set[tuple[str, int]] = set()
+        self.sends = 0
+        self.may_have_run = False
+        self.last_kind: kinds.ErrorKind | None = None
+        self.last_response: messages.Response | None = None
+        self.story: list[str] = []
+
+    async def run(self) -> Outcome:
+        """Returns the answer of the first upstream that serves the request."""
+        try:
+            return await self.race()
+        finally:
+            self.give_up_running()
+
+    async def race(self) -> Outcome:
+        """Starts attempts and takes their results until one decides."""
+        refusal = self.try_start()
+        if refusal is not None:
+            return Outcome(None, refusal)
+        while True:
+            left_ms = self.sending.deadline_ms - self.node.clock.now_ms()
+            if left_ms <= 0.0:
+                return self.deadline_outcome()
+            await asyncio.wait(
+                [each.task for each in self.running],
+                timeout=min(LOOK_MS, left_ms) / MS_PER_SECOND,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            outcome = self.take_results()
+            if outcome is not None:
+                return outcome
+            if not self.running:
+                refusal = self.try_again()
+                if refusal is not None:
+                    return self.failure_outcome(refusal)
+            else:
+                self.consider_hedge()
+
+    # Starting
+
+    def choose(self) -> placement.Choice | None:
+        """Returns the best upstream that was not tried."""
+        node = self.node
+        return placement.choose(
+            node.loads.of_service(self.service),
+            node.work.of(self.route, self.service),
+            failure_domain=node.failure_domain,
+            usual=node.loads.usual_pace(self.service),
+            now_ms=node.clock.now_ms(),
+            rng=node.rng,
+            excluded=self.tried,
+        )
+
+    def try_start(self) -> kinds.ErrorKind | None:
+        """Starts the first attempt; returns why not if it can't."""
+        choice = self.choose()
+        if choice is None:
+            return Kind.NO_UPSTREAM
+        now_ms = self.node.clock.now_ms()
+        if now_ms + choice.finish_ms > self.sending.deadline_ms:
+            return Kind.OVERLOADED
+        self.start(choice, hedge=False)
+        return None
+
+    def try_again(self) -> kinds.ErrorKind | None:
+        """Starts another attempt after a failure; returns why not."""
+        kind = self.last_kind or Kind.UPSTREAM_RESET
+        if not self.may_repeat(kind):
+            return kind
+        choice = self.choose()
+        if choice is None:
+            return kind
+        now_ms = self.node.clock.now_ms()
+        if now_ms + 0.7 * choice.finish_ms > self.sending.deadline_ms:
+            return kind
+        if self.sends > 0 and not self.spend():
+            return kind
+        self.start(choice, hedge=False)
+        return None
+
+    def may_repeat(self, kind: kinds.ErrorKind) -> bool:
+        """Returns whether the request may be sent again after an error."""
+        if self.sends >= self.route.max_attempts:
+            return False
+        if self.may_have_run and not self.sending.repeatable:
+            return False
+        retry = table.answer_for(kind).retry
+        if retry is table.Retry.ANY:
+            return True
+        return retry is table.Retry.REPEATABLE and self.sending.repeatable
+
+    def spend(self) -> bool:
+        """Takes a repeat out of the service's budget."""
+        now_ms = self.node.clock.now_ms()
+        return self.node.budget(self.service).try_spend(
+            now_ms, self.node.members.fleet_size(now_ms)
+        )
+
+    def start(self, choice: placement.Choice, hedge: bool) -> None:
+        """Starts an attempt."""
+        view = choice.view
+        now_ms = self.node.clock.now_ms()
+        work = self.node.work.of(self.route, self.service)
+        usual = self.node.loads.usual_pace(self.service)
+        queue_ms = choice.finish_ms - view.pace(now_ms, usual) * work.service_ms
+        self.story.append(
+            f"{'hedge' if hedge else 'send'} {view.upstream.upstream_id}"
+            f" at={now_ms - self.arrived_ms:.0f}"
+            f" pace={view.pace(now_ms, usual):.1f} load={view.load()}"
+            f"/{view.slots()} age={min(now_ms - view.reported_ms, 99999):.0f}"
+            f" expect={choice.finish_ms:.0f}"
+        )
+        delivery = hop_attempt.Delivery()
+        sink = None if hedge else self.sink
+        task = asyncio.ensure_future(
+            self.node.client.send(self.sending, view.upstream, delivery, sink)
+        )
+        view.own += 1
+        self.tried.add(view.upstream.key)
+        self.sends += 1
+        progress = retry_progress.Progress(
+            max(1.0, work.service_ms), max(0.0, queue_ms), now_ms, now_ms
+        )
+        self.running.append(Attempt(view, task, delivery, progress, hedge))
+
+    # Results
+
+    def take_results(self) -> Outcome | None:
+        """Takes finished attempts; returns the outcome if one decides."""
+        for attempt in [each for each in self.running if each.task.done()]:
+            self.running.remove(attempt)
+            attempt.view.own -= 1
+            outcome = self.take_result(attempt)
+            if outcome is not None:
+                return outcome
+        return None
+
+    def take_result(self, attempt: Attempt) -> Outcome | None:
+        """Takes one finished attempt."""
+        now_ms = self.node.clock.now_ms()
+        error = attempt.task.exception()
+        if error is not None:
+            if not isinstance(error, exceptions.UpstreamError):
+                raise error
+            self.attempt_failed(attempt, error.kind, now_ms)
+            if self.sink is not None and self.sink.streaming:
+                return Outcome(None, Kind.RESPONSE_TRUNCATED)
+            return None
+        response = attempt.task.result()
+        self.learn(attempt, response, now_ms)
+        kind = self.node.client.failure_of(response)
+        if kind is None or response.streamed:
+            attempt.view.record_outcome(False, now_ms)
+            self.story.append(f"answer {response.status}")
+            return Outcome(response)
+        self.attempt_failed(attempt, kind, now_ms)
+        if kind is Kind.UPSTREAM_FAILED:
+            self.last_response = response
+        return None
+
+    def attempt_failed(
+        self, attempt: Attempt, kind: kinds.ErrorKind, now_ms: float
+    ) -> None:
+        """Notes why an attempt failed and what may have run."""
+        self.last_kind = kind
+        self.story.append(
+            f"{kind.value} {attempt.view.upstream.upstream_id}"
+            f" at={now_ms - self.arrived_ms:.0f}"
+        )
+        not_run = table.answer_for(kind).outcome is table.Outcome.NOT_RUN
+        if not attempt.delivery.sent:
+            self.sends -= 1
+        elif not not_run:
+            self.may_have_run = True
+        attempt.view.record_outcome(True, now_ms)
+        self.node.note_failure(attempt.view)
+
+    def learn(
+        self, attempt: Attempt, response: messages.Response, now_ms: float
+    ) -> None:
+        """Takes the load report and the time of a response."""
+        node = self.node
+        view = attempt.view
+        report = node.decode_load(response.header(node.client.names.load))
+        usual = node.loads.usual_pace(self.service)
+        attempt.progress.advance(view.pace(now_ms, usual), now_ms)
+        if report is not None:
+            node.take_report(view, report, now_ms)
+        if (
+            response.status < messages.FIRST_REDIRECT_STATUS
+            and attempt.progress.queue_ms <= 0.0
+        ):
+            node.work.record(
+                self.route,
+                self.service,
+                now_ms - attempt.progress.started_ms,
+                attempt.progress.mean_pace(now_ms),
+                len(response.body),
+            )
+
+    # Hedging
+
+    def consider_hedge(self) -> None:
+        """Sends the request elsewhere too if that will be much faster."""
+        if not self.sending.repeatable or len(self.running) != 1:
+            return
+        attempt = self.running[0]
+        now_ms = self.node.clock.now_ms()
+        usual = self.node.loads.usual_pace(self.service)
+        pace = attempt.view.pace(now_ms, usual)
+        attempt.progress.advance(pace, now_ms)
+        if self.sends >= self.route.max_attempts:
+            return
+        if self.sink is not None and self.sink.streaming:
+            return
+        remaining_ms = attempt.progress.remaining_ms(pace)
+        choice = self.choose()
+        if choice is None:
+            return
+        if not retry_progress.worth_hedging(
+            now_ms - self.arrived_ms,
+            remaining_ms,
+            choice.finish_ms,
+            self.route.target_latency_ms,
+            self.sending.deadline_ms - now_ms,
+        ):
+            return
+        if self.spend():
+            self.start(choice, hedge=True)
+
+    def give_up_running(self) -> None:
+        """Cancels the attempts that are not needed any more."""
+        now_ms = self.node.clock.now_ms()
+        for attempt in self.running:
+            attempt.task.cancel()
+            attempt.view.own -= 1
+            if attempt.progress.done > ABANDONED:
+                attempt.view.record_outcome(True, now_ms)
+                self.node.note_failure(attempt.view)
+        self.running = []
+
+    # Ends
+
+    def deadline_outcome(self) -> Outcome:
+        """Returns the outcome when the deadline has passed."""
+        sent = any(each.delivery.sent for each in self.running)
+        self.story.append("deadline")
+        if sent or self.may_have_run:
+            return Outcome(None, Kind.DEADLINE_AFTER_DISPATCH)
+        return Outcome(None, Kind.OVERLOADED)
+
+    def failure_outcome(self, kind: kinds.ErrorKind) -> Outcome:
+        """Returns the outcome when no attempt is left to make."""
+        if self.last_response is not None:
+            return Outcome(self.last_response)
+        if self.may_have_run:
+            answer = table.answer_for(kind)
+            if answer.outcome is table.Outcome.NOT_RUN:
+                kind = Kind.UPSTREAM_RESET
+            return Outcome(None, kind)
+        if table.answer_for(kind).outcome is table.Outcome.NOT_RUN:
+            # Nothing ran, so the caller may come back for any request.
+            return Outcome(None, Kind.OVERLOADED)
+        return Outcome(None, kind)
--- /dev/null
+++ b/src/lovageyoke/node/state.py
@@ -0,0 +1,171 @@
+"""What the forwarding process knows and shares between its tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+from lovageyoke.clock import api as clock_api
+from lovageyoke.fleet import members as fleet_members
+from lovageyoke.fleet import messages
+from lovageyoke.hop import attempt as hop_attempt
+from lovageyoke.node import settings as node_settings
+from lovageyoke.observe import events
+from lovageyoke.retry import window_budget
+from lovageyoke.routing import load_view
+from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import route_table
+from lovageyoke.routing import work_estimate
+
+DecodeLoad = Callable[[bytes | None], load_view.LoadReport | None]
+DecodeDeadline = Callable[[bytes | None], float | None]
+
+
+class NodeState:
+    """Shared by the tasks of one process, which run in one thread.
+
+    Attributes:
+        settings: Settings of the process.
+        clock: Source of time.
+        rng: Random numbers.
+        log: Where decisions are logged.
+        client: Sends requests to upstreams.
+        decode_load: Decodes the load report of a response's header.
+        members: The processes of the fleet.
+        loads: Beliefs about the upstreams.
+        work: What requests need.
+        table: The routes, None before a configuration is known.
+        configuration: The configuration in force.
+        dealer: Deals out the parts of splits.
+        budgets: Budgets of repeats by service.
+        upstreams_known: Whether the upstreams were listed.
+        leaving: Whether the process is about to stop.
+        unsent: Upstreams whose report the next heartbeat tells.
+        failures: Failures by upstream id that it tells.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: node_settings.NodeSettings,
+        clock: clock_api.Clock,
+        rng: random.Random,
+        log: events.EventLog,
+        client: hop_attempt.UpstreamClient,
+        decode_load: DecodeLoad,
+        members: fleet_members.Members,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.log = log
+        self.client = client
+        self.decode_load = decode_load
+        self.members = members
+        self.loads = load_view.LoadView()
+        self.work = work_estimate.WorkEstimates()
+        self.table: route_table.RouteTable | None = None
+        self.configuration: model.Configuration | None = None
+        self.dealer = route_table.SplitDealer()
+        self.budgets: dict[str, window_budget.WindowBudget] = {}
+        self.upstreams_known = False
+        self.leaving = False
+        self.unsent: dict[str, load_view.UpstreamView] = {}
+        self.failures: dict[str, int] = {}
+
+    @property
+    def failure_domain(self) -> str:
+        """Where this process runs."""
+        return self.settings.failure_domain
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers are welcome."""
+        return (
+            self.table is not None and self.upstreams_known and not self.leaving
+        )
+
+    def use_configuration(self, configuration: model.Configuration) -> None:
+        """Puts a configuration in force."""
+        self.configuration = configuration
+        self.table = route_table.RouteTable(configuration.routes)
+        self.dealer.keep_only(configuration.routes)
+        self.work.keep_only({each.name for each in configuration.routes})
+
+    def use_upstreams(self, upstreams: list[model.Upstream]) -> None:
+        """Takes the list of upstreams."""
+        before = set(self.loads.by_id)
+        self.loads.replace_upstreams(upstreams, self.clock.now_ms())
+        self.upstreams_known = True
+        for upstream_id in before - set(self.loads.by_id):
+            self.unsent.pop(upstream_id, None)
+            self.failures.pop(upstream_id, None)
+
+    def budget(self, service: str) -> window_budget.WindowBudget:
+        """Returns the budget of repeats of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = window_budget.WindowBudget(
+                bounds.budget_ratio,
+                bounds.budget_extra,
+                bounds.budget_window_ms,
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def take_report(
+        self,
+        view: load_view.UpstreamView,
+        report: load_view.LoadReport,
+        now_ms: float,
+    ) -> None:
+        """Takes a report that this process got itself, to tell others."""
+        if self.loads.take_report(view, report, now_ms):
+            self.unsent[view.upstream.upstream_id] = view
+
+    def note_failure(self, view: load_view.UpstreamView) -> None:
+        """Notes a failed exchange, to tell others."""
+        upstream_id = view.upstream.upstream_id
+        self.failures[upstream_id] = self.failures.get(upstream_id, 0) + 1
+        self.unsent.setdefault(upstream_id, view)
+
+    def reports_to_send(self, now_ms: float) -> tuple[messages.Report, ...]:
+        """Returns and forgets what other processes were not told yet."""
+        reports = []
+        for upstream_id, view in self.unsent.items():
+            report = view.report or load_view.LoadReport(0, 0, 0)
+            pace = report.pace or 0.0
+            age_ms = min(now_ms - view.reported_ms, 60_000.0)
+            reports.append(
+                messages.Report(
+                    upstream_id,
+                    report.running,
+                    report.waiting,
+                    report.slots,
+                    round(pace * 100.0),
+                    max(0, round(age_ms)),
+                    self.failures.get(upstream_id, 0),
+                )
+            )
+        self.unsent.clear()
+        self.failures.clear()
+        return tuple(reports)
+
+    def hear_report(self, report: messages.Report, now_ms: float) -> None:
+        """Takes a report that another process got."""
+        view = self.loads.by_id.get(report.upstream_id)
+        if view is None:
+            return
+        for _ in range(min(report.failures, 8)):
+            view.record_outcome(True, now_ms)
+        if report.slots == 0:
+            return
+        pace = report.pace_percent / 100.0 if report.pace_percent else None
+        self.loads.take_report(
+            view,
+            load_view.LoadReport(
+                report.running, report.waiting, report.slots, pace
+            ),
+            now_ms - report.age_ms,
+        )
--- /dev/null
+++ b/src/lovageyoke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/src/lovageyoke/platform/callers.py
@@ -0,0 +1,41 @@
+"""The calls by which callers and the platform find this process."""
+
+from __future__ import annotations
+
+import json
+import urllib.parse
+
+from lovageyoke.fleet import directory
+from lovageyoke.hop import messages
+from lovageyoke.platform import durations
+
+RESOLVE_PATH = "/resolve"
+READY_PATH = "/readiness"
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+def decode_resolve(request: messages.Request) -> directory.AddressQuery | None:
+    """Returns what a caller asks of the directory, None for other calls."""
+    if request.path != RESOLVE_PATH or request.method != b"GET":
+        return None
+    text = request.target.partition(b"?")[2].decode("latin-1")
+    query = urllib.parse.parse_qs(text)
+    return directory.AddressQuery(
+        host=query.get("name", [""])[0],
+        region=query.get("region", [""])[0],
+        failure_domain=query.get("zone", [""])[0],
+    )
+
+
+def encode_addresses(
+    addresses: list[str], lifetime_ms: float
+) -> messages.Response:
+    """Returns the directory's answer."""
+    body = {"addresses": addresses, "ttl": durations.time_text(lifetime_ms)}
+    encoded = json.dumps(body, separators=(",", ":")).encode()
+    return messages.Response(200, b"OK", [JSON_TYPE], encoded)
+
+
+def is_readiness(request: messages.Request) -> bool:
+    """Returns whether a request asks if this process is ready."""
+    return request.path == READY_PATH
--- /dev/null
+++ b/src/lovageyoke/platform/headers.py
@@ -0,0 +1,50 @@
+"""Names and values of the headers that the platform gives a meaning."""
+
+from __future__ import annotations
+
+from lovageyoke.hop import names
+from lovageyoke.routing import load_view
+
+USUAL_PACE_PERCENT = 100.0
+LEAST_LOAD_FIGURES = 3
+
+NAMES = names.HeaderNames(
+    request_id=b"x-request-id",
+    deadline=b"x-deadline-ms",
+    expected_upstream=b"x-expected-instance",
+    # Names the upstream that answered, not the one that was expected.
+    answering_upstream=b"x-instance-id",
+    load=b"x-backend-load",
+    not_executed=b"x-not-executed",
+    signature=b"x-response-signature",
+)
+
+
+def decode_load(value: bytes | None) -> load_view.LoadReport | None:
+    """Returns the load report of a header, None if it can't be read.
+
+    The value is ``running,waiting,slots`` and, from some upstreams, a fourth
+    figure: how long work takes now in percent of usual.
+    """
+    if value is None:
+        return None
+    try:
+        figures = [int(part) for part in value.split(b",")]
+    except ValueError:
+        return None
+    if len(figures) < LEAST_LOAD_FIGURES or min(figures) < 0:
+        return None
+    pace = None
+    if len(figures) > LEAST_LOAD_FIGURES:
+        pace = max(1.0, figures[LEAST_LOAD_FIGURES]) / USUAL_PACE_PERCENT
+    return load_view.LoadReport(figures[0], figures[1], figures[2], pace)
+
+
+def decode_deadline(value: bytes | None) -> float | None:
+    """Returns how long a caller waits, in milliseconds, None if not told."""
+    if value is None:
+        return None
+    try:
+        return max(0.0, float(value))
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/lovageyoke/platform/settings.py
@@ -0,0 +1,100 @@
+"""Reads the settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import tomllib
+from typing import Any
+
+from lovageyoke.errors import exceptions
+from lovageyoke.node import settings
+from lovageyoke.platform import durations
+from lovageyoke.platform import entries
+
+PATH_VARIABLE = "LOVAGEYOKE_NODE_FILE"
+
+
+def path() -> pathlib.Path:
+    """Returns where the settings file is.
+
+    Raises:
+        SettingsError: The environment doesn't tell.
+    """
+    value = os.environ.get(PATH_VARIABLE)
+    if not value:
+        raise exceptions.SettingsError((f"{PATH_VARIABLE} is not set",))
+    return pathlib.Path(value)
+
+
+def load(file: pathlib.Path) -> settings.NodeSettings:
+    """Reads a settings file.
+
+    Raises:
+        SettingsError: It can't be read or lacks something.
+    """
+    try:
+        raw = tomllib.loads(file.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise exceptions.SettingsError((f"{file}: {error}",)) from error
+    return decode(raw)
+
+
+def decode(raw: dict[str, Any]) -> settings.NodeSettings:
+    """Returns the settings of a decoded file; unknown fields are ignored.
+
+    Raises:
+        SettingsError: Something is missing or of another type.
+    """
+    try:
+        listen = raw["listen"]
+        return settings.NodeSettings(
+            node_id=str(raw["node"]),
+            failure_domain=str(raw["zone"]),
+            region=str(raw["region"]),
+            front=_address(listen["front"]),
+            readiness=_optional(listen.get("ready")),
+            directory=_optional(listen.get("directory")),
+            peers=settings.Address(
+                str(raw["ip"]), int(raw["internal_ports"][0])
+            ),
+            store=_address(raw["platform"]["address"]),
+            min_lease_ms=durations.milliseconds(
+                raw["platform"].get("min_ttl", "1000ms")
+            ),
+            bounds=_bounds(raw.get("bounds", [])),
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise exceptions.SettingsError(
+            (f"settings file: {error!r}",)
+        ) from error
+
+
+def _address(text: object) -> settings.Address:
+    return settings.Address(*entries.address(text))
+
+
+def _optional(text: object) -> settings.Address | None:
+    return _address(text) if text else None
+
+
+def _bounds(texts: list[str]) -> settings.Bounds:
+    told = dict(text.split("=", 1) for text in texts)
+    default = settings.Bounds()
+    return settings.Bounds(
+        grace_ms=_time(told, "grace", default.grace_ms),
+        drain_ms=_time(told, "drain", default.drain_ms),
+        budget_ratio=_number(told, "budget_ratio", default.budget_ratio),
+        budget_extra=_number(told, "budget_extra", default.budget_extra),
+        budget_window_ms=_time(told, "budget_window", default.budget_window_ms),
+        lifetime_most_ms=_time(told, "ttl_max", default.lifetime_most_ms),
+        probes_per_s=_number(told, "probes_per_s", default.probes_per_s),
+    )
+
+
+def _time(told: dict[str, str], name: str, default_ms: float) -> float:
+    return durations.milliseconds(told[name]) if name in told else default_ms
+
+
+def _number(told: dict[str, str], name: str, default: float) -> float:
+    return float(told[name]) if name in told else default
--- /dev/null
+++ b/src/lovageyoke/platform/store_client.py
@@ -0,0 +1,266 @@
+"""Client of the platform's key-value store."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import Any
+import urllib.parse
+
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.hop import connection as hop_connection
+from lovageyoke.hop import messages
+from lovageyoke.platform import durations
+from lovageyoke.store import revisions
+
+CONNECT_TIMEOUT_MS = 500.0
+ANSWER_TIMEOUT_MS = 1_000.0  # The store answers in milliseconds when well.
+WATCH_SLACK_MS = 400.0  # How much later than asked a watch may be answered.
+MAX_PAGES = 1_000
+OK = 200
+NOT_FOUND = 404
+HISTORY_GONE = 410
+CONFLICT = 412
+TOO_MANY = 429
+PLAIN_JSON = b"application/json"
+
+
+class StoreClient(revisions.RevisionStore):
+    """Speaks to the store over connections of its own.
+
+    A connection on which an answer was lost returns nothing further, so it is
+    closed after any failure.
+
+    Attributes:
+        host: IP number of the store.
+        port: Its TCP port.
+        idle: Connections that are not in use.
+        calls: Calls made since the start, by name.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+        self.idle: list[hop_connection.ClientConnection] = []
+        self.calls: dict[str, int] = {}
+
+    async def get(self, key: str) -> tuple[revisions.Item | None, int]:
+        """Returns an item, None if it is absent, and the store's revision."""
+        status, body = await self.call(
+            "get", "GET", "/kv-key?" + urllib.parse.urlencode({"key": key})
+        )
+        if status == NOT_FOUND:
+            return None, int(body.get("at", 0))
+        return _item(body), int(body.get("at", 0))
+
+    async def list_items(
+        self, prefix: str, stale: bool = False
+    ) -> revisions.Listing:
+        """Returns the items under a prefix, page by page."""
+        items: list[revisions.Item] = []
+        query = {"prefix": prefix}
+        if stale:
+            query["is_stale"] = "1"
+        revision: int | None = None
+        for _ in range(MAX_PAGES):
+            target = "/kv-range?" + urllib.parse.urlencode(query)
+            _, body = await self.call("list", "GET", target)
+            page = [_item(each) for each in body.get("items", [])]
+            items.extend(page)
+            at = int(body.get("at", 0))
+            revision = at if revision is None else min(revision, at)
+            if not body.get("has_more") or not page:
+                break
+            query["after"] = page[-1].key
+        return revisions.Listing(tuple(items), revision or 0)
+
+    async def watch(
+        self, prefix: str, after: int, wait_ms: float
+    ) -> revisions.Changes:
+        """Waits for changes under a prefix."""
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(round(wait_ms)),
+        }
+        status, body = await self.call(
+            "watch",
+            "GET",
+            "/kv-watch?" + urllib.parse.urlencode(query),
+            timeout_ms=wait_ms + WATCH_SLACK_MS,
+        )
+        if status == HISTORY_GONE:
+            raise exceptions.HistoryGoneError(
+                f"the store has no history after revision {after}"
+            )
+        events = tuple(_change(each) for each in body.get("events", []))
+        return revisions.Changes(events, int(body.get("at", after)))
+
+    async def commit(self, writes: list[revisions.Write]) -> int:
+        """Sets keys, all or none; returns the revision."""
+        rows = [
+            {
+                "key": each.key,
+                "value": base64.b64encode(each.value).decode(),
+                "lease": each.lease_id,
+            }
+            for each in writes
+        ]
+        status, body = await self.call(
+            "commit",
+            "POST",
+            "/kv-txn",
+            {"expected_rev": [], "set_keys": rows, "remove": []},
+        )
+        if status == NOT_FOUND:
+            raise exceptions.LeaseGoneError("the lease of a write has ended")
+        return int(body.get("revision", 0))
+
+    async def grant_lease(self, ttl_ms: float) -> int:
+        """Returns a new lease."""
+        _, body = await self.call(
+            "grant",
+            "POST",
+            "/kv-lease",
+            {"ttl_time": durations.time_text(ttl_ms)},
+        )
+        return int(body["lease"])
+
+    async def renew_lease(self, lease_id: int) -> None:
+        """Renews a lease."""
+        status, _ = await self.call("renew", "POST", f"/kv-keep/{lease_id}", {})
+        if status == NOT_FOUND:
+            raise exceptions.LeaseGoneError(f"lease {lease_id} has ended")
+
+    async def call(
+        self,
+        name: str,
+        method: str,
+        target: str,
+        body: dict[str, Any] | None = None,
+        timeout_ms: float = ANSWER_TIMEOUT_MS,
+    ) -> tuple[int, dict[str, Any]]:
+        """Makes one call.
+
+        Args:
+            name: Name of the call in the counters.
+            method: HTTP method.
+            target: Path and query.
+            body: JSON body, None for none.
+            timeout_ms: Longest time to wait for the answer.
+
+        Returns:
+            The status, 200, 404 or 410, and the decoded body.
+
+        Raises:
+            PlatformUnavailableError: Nothing was done.
+            PlatformOutcomeUnknownError: No answer came.
+        """
+        self.calls[name] = self.calls.get(name, 0) + 1
+        connection = await self.connection()
+        try:
+            response = await self.exchange(
+                connection, method, target, body, timeout_ms
+            )
+        except BaseException:
+            connection.abort()
+            raise
+        if connection.usable():
+            self.idle.append(connection)
+        else:
+            connection.close()
+        return _checked(response)
+
+    async def exchange(
+        self,
+        connection: hop_connection.ClientConnection,
+        method: str,
+        target: str,
+        body: dict[str, Any] | None,
+        timeout_ms: float,
+    ) -> messages.Response:
+        """Sends one call over a connection and waits for its answer."""
+        encoded = b"" if body is None else json.dumps(body).encode()
+        headers = [(b"Host", f"{self.host}:{self.port}".encode())]
+        if body is not None:
+            headers.append((b"Content-Type", PLAIN_JSON))
+            headers.append((b"Content-Length", str(len(encoded)).encode()))
+        start = f"{method} {target} HTTP/1.1".encode()
+        done = connection.begin(
+            messages.encode_head(start, headers), encoded, None
+        )
+        try:
+            async with asyncio.timeout(timeout_ms / durations.MS_PER_SECOND):
+                return await done
+        except TimeoutError as error:
+            raise exceptions.PlatformOutcomeUnknownError(
+                f"no answer from the store in {timeout_ms:.0f} ms"
+            ) from error
+        except exceptions.UpstreamError as error:
+            raise exceptions.PlatformOutcomeUnknownError(
+                f"connection to the store failed: {error.detail}"
+            ) from error
+
+    async def connection(self) -> hop_connection.ClientConnection:
+        """Returns an idle connection or a new one."""
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.usable():
+                return connection
+            connection.close()
+        try:
+            return await hop_connection.connect(
+                self.host, self.port, b"", CONNECT_TIMEOUT_MS
+            )
+        except exceptions.UpstreamError as error:
+            raise exceptions.PlatformUnavailableError(error.detail) from error
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        while self.idle:
+            self.idle.pop().close()
+
+
+def _checked(response: messages.Response) -> tuple[int, dict[str, Any]]:
+    status = response.status
+    if status == TOO_MANY:
+        raise exceptions.RateLimitedError("the store refused the call: rate")
+    if status not in {OK, NOT_FOUND, HISTORY_GONE, CONFLICT}:
+        raise exceptions.PlatformUnavailableError(
+            f"the store answered with status {status}"
+        )
+    if status == CONFLICT:
+        raise exceptions.RevisionConflictError(
+            "a key of the write had another revision",
+            kinds.ErrorKind.PLAN_CONFLICT,
+        )
+    try:
+        body = json.loads(response.body) if response.body else {}
+    except ValueError as error:
+        raise exceptions.PlatformOutcomeUnknownError(
+            f"the store's answer is not JSON: {error}"
+        ) from error
+    if not isinstance(body, dict):
+        raise exceptions.PlatformOutcomeUnknownError(
+            "the store's answer is not an object"
+        )
+    return status, body
+
+
+def _value(raw: dict[str, Any]) -> bytes:
+    try:
+        return base64.b64decode(raw.get("value", ""), validate=True)
+    except (TypeError, ValueError):
+        # The decoders of entries skip and log what they can't read.
+        return b""
+
+
+def _item(raw: dict[str, Any]) -> revisions.Item:
+    return revisions.Item(str(raw["key"]), _value(raw), int(raw["revision"]))
+
+
+def _change(raw: dict[str, Any]) -> revisions.Change:
+    value = None if raw.get("deleted") else _value(raw)
+    return revisions.Change(str(raw["key"]), int(raw["revision"]), value)
--- /dev/null
+++ b/src/lovageyoke/routing/load_view.py
@@ -0,0 +1,209 @@
+"""What a process believes of each upstream's load and pace.
+
+Reports come from probes, from answers and from the other processes. Between
+reports the view adds what this process itself has sent since.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import math
+
+import attrs
+
+from lovageyoke.routing import registry_model as model
+
+PACE_MEMORY_MS = 400.0  # Paces change about twice a second.
+FAILURE_HALF_LIFE_MS = 2_500.0
+LEAST_FAILURE_RATE = 0.001
+FAILURE_WEIGHT = 0.3  # A few failures in a row make a rate near 1.
+SILENT_PROBES = 2  # Health checks without an answer that tell of a failure.
+COLD_PACE = 2.0  # Upstreams start at about half of their speed.
+USUAL_PACE_MEMORY = 0.02  # Share of one report in the service's usual pace.
+
+
+@attrs.frozen
+class LoadReport:
+    """Load that an upstream told of itself.
+
+    Attributes:
+        running: Requests that it works on.
+        waiting: Requests in its queue.
+        slots: Requests that it can work on at the same time.
+        pace: How long work takes now, relative to usual; None if not told.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float | None = None
+
+
+@attrs.define
+class UpstreamView:
+    """Beliefs about one upstream.
+
+    Attributes:
+        upstream: The upstream.
+        added_ms: When it became known.
+        report: Its last report, if any.
+        reported_ms: When the report was made, in this process's time.
+        own: Requests of this process at the upstream.
+        own_at_report: ``own`` when the report was made.
+        failure_rate: Share of recent exchanges that failed, aged.
+        failure_ms: When ``failure_rate`` was last changed.
+        unhealthy: Whether its health check says that it is unwell.
+        healthy_ms: When its health check last passed.
+        silent_probes: Health checks in a row without an answer.
+    """
+
+    upstream: model.Upstream
+    added_ms: float
+    report: LoadReport | None = None
+    reported_ms: float = -math.inf
+    own: int = 0
+    own_at_report: int = 0
+    failure_rate: float = 0.0
+    failure_ms: float = 0.0
+    unhealthy: bool = False
+    healthy_ms: float = -math.inf
+    silent_probes: int = 0
+
+    def take_report(
+        self, report: LoadReport, made_ms: float, own: int | None = None
+    ) -> bool:
+        """Takes a report unless a later one is known.
+
+        Args:
+            report: The report.
+            made_ms: When it was made, in this process's time.
+            own: Requests of this process that the report includes; those
+                sent now if None.
+
+        Returns:
+            Whether it was taken.
+        """
+        if made_ms <= self.reported_ms:
+            return False
+        if report.pace is None and self.report is not None:
+            report = attrs.evolve(report, pace=self.report.pace)
+        self.report = report
+        self.reported_ms = made_ms
+        self.own_at_report = self.own if own is None else own
+        return True
+
+    def record_outcome(self, failed: bool, now_ms: float) -> None:
+        """Counts an exchange that failed or succeeded."""
+        rate = self.aged_failure_rate(now_ms)
+        target = 1.0 if failed else 0.0
+        self.failure_rate = rate + FAILURE_WEIGHT * (target - rate)
+        self.failure_ms = now_ms
+
+    def aged_failure_rate(self, now_ms: float) -> float:
+        """Returns the share of recent failures; it halves with time."""
+        if self.failure_rate < LEAST_FAILURE_RATE:
+            return 0.0
+        age_ms = now_ms - self.failure_ms
+        return self.failure_rate * math.exp2(-age_ms / FAILURE_HALF_LIFE_MS)
+
+    def load(self) -> int:
+        """Returns the requests that are at the upstream, as far as known."""
+        if self.report is None:
+            return self.own
+        told = self.report.running + self.report.waiting
+        return max(self.own, told + self.own - self.own_at_report)
+
+    def slots(self) -> int:
+        """Returns the requests that it works on at the same time."""
+        if self.report is not None and self.report.slots > 0:
+            return self.report.slots
+        return max(1, self.upstream.slots)
+
+    def pace(self, now_ms: float, usual: float) -> float:
+        """Returns how long work is expected to take, relative to usual.
+
+        Args:
+            now_ms: The time.
+            usual: The pace to expect of an upstream that nothing is known of.
+        """
+        pace = usual
+        if self.report is not None and self.report.pace is not None:
+            age_ms = max(0.0, now_ms - self.reported_ms)
+            trust = math.exp(-age_ms / PACE_MEMORY_MS)
+            pace = self.report.pace * trust + usual * (1.0 - trust)
+        if now_ms < self.added_ms + self.upstream.cold_ms:
+            pace *= COLD_PACE
+        return pace
+
+
+@attrs.define
+class ServiceView:
+    """Beliefs about the upstreams of one service.
+
+    Attributes:
+        upstreams: Views by the identity of the upstream's start.
+        usual_pace: Mean pace over the service's reports.
+    """
+
+    upstreams: dict[tuple[str, int], UpstreamView] = attrs.field(factory=dict)
+    usual_pace: float = 1.0
+
+
+class LoadView:
+    """Beliefs about all upstreams.
+
+    Attributes:
+        services: Views by service.
+        by_id: The view of the newest start under each upstream id.
+    """
+
+    def __init__(self) -> None:
+        self.services: dict[str, ServiceView] = {}
+        self.by_id: dict[str, UpstreamView] = {}
+
+    def replace_upstreams(
+        self, upstreams: Iterable[model.Upstream], now_ms: float
+    ) -> None:
+        """Takes the list of upstreams; what stays keeps its beliefs."""
+        wanted = {upstream.key: upstream for upstream in upstreams}
+        for service in self.services.values():
+            for key in [
+                each for each in service.upstreams if each not in wanted
+            ]:
+                del service.upstreams[key]
+        self.by_id = {}
+        for upstream in wanted.values():
+            self.put(upstream, now_ms)
+
+    def put(self, upstream: model.Upstream, now_ms: float) -> None:
+        """Adds an upstream, or takes what changed in its entry."""
+        service = self.services.setdefault(upstream.service, ServiceView())
+        view = service.upstreams.get(upstream.key)
+        if view is None:
+            view = UpstreamView(upstream, now_ms)
+            service.upstreams[upstream.key] = view
+        elif view.upstream != upstream:
+            view.upstream = upstream
+        self.by_id[upstream.upstream_id] = view
+
+    def of_service(self, name: str) -> list[UpstreamView]:
+        """Returns the views of a service's upstreams."""
+        service = self.services.get(name)
+        return list(service.upstreams.values()) if service else []
+
+    def usual_pace(self, name: str) -> float:
+        """Returns the mean pace of a service's upstreams."""
+        service = self.services.get(name)
+        return service.usual_pace if service else 1.0
+
+    def take_report(
+        self, view: UpstreamView, report: LoadReport, made_ms: float
+    ) -> bool:
+        """Takes a report and counts its pace; returns whether it was newer."""
+        if not view.take_report(report, made_ms):
+            return False
+        service = self.services.get(view.upstream.service)
+        if service is not None and report.pace is not None:
+            change = report.pace - service.usual_pace
+            service.usual_pace += USUAL_PACE_MEMORY * change
+        return True
--- /dev/null
+++ b/src/lovageyoke/routing/work_estimate.py
@@ -0,0 +1,88 @@
+"""Learns what the requests of each route need."""
+
+from __future__ import annotations
+
+from lovageyoke.routing import placement
+from lovageyoke.routing import registry_model as model
+
+FIRST_SHARE_OF_TARGET = 0.4  # Targets leave room for a slow upstream.
+FIRST_ANSWER_KB = 4.0
+MEMORY = 0.05  # Share of one answer in the estimate.
+MIN_SERVICE_MS = 1.0
+MOST_SURPRISE = 3.0
+TRUSTED_ANSWERS = 8
+
+
+class WorkEstimates:
+    """Expected work by route and service.
+
+    A route that has had few answers is taken to need what its service's
+    requests need.
+
+    Attributes:
+        routes: Estimates and the answers behind them, by route and service.
+        services: Estimates by service.
+    """
+
+    def __init__(self) -> None:
+        self.routes: dict[tuple[str, str], tuple[placement.Work, int]] = {}
+        self.services: dict[str, placement.Work] = {}
+
+    def of(self, route: model.Route, service: str) -> placement.Work:
+        """Returns what a request is expected to need.
+
+        Args:
+            route: Its route.
+            service: The service that serves it.
+        """
+        work, answers = self.routes.get((route.name, service), (None, 0))
+        if work is not None and answers >= TRUSTED_ANSWERS:
+            return work
+        known = self.services.get(service)
+        if known is not None:
+            return known
+        aim_ms = min(route.target_latency_ms, route.timeout_ms)
+        first_ms = aim_ms * FIRST_SHARE_OF_TARGET
+        return placement.Work(first_ms, FIRST_ANSWER_KB)
+
+    def record(
+        self,
+        route: model.Route,
+        service: str,
+        elapsed_ms: float,
+        pace: float,
+        answer_bytes: int,
+    ) -> None:
+        """Learns from an answer.
+
+        Args:
+            route: The request's route.
+            service: The service that served it.
+            elapsed_ms: Time from sending to the answer.
+            pace: Mean pace of the upstream meanwhile.
+            answer_bytes: Size of the answer.
+        """
+        service_ms = max(MIN_SERVICE_MS, elapsed_ms / max(0.1, pace))
+        answer_kb = answer_bytes / 1_000.0
+        expected = self.of(route, service)
+        # One long wait in a queue says little about the work itself.
+        service_ms = min(service_ms, MOST_SURPRISE * expected.service_ms)
+        sample = placement.Work(service_ms, answer_kb)
+        key = (route.name, service)
+        work, answers = self.routes.get(key, (expected, 0))
+        self.routes[key] = _blend(work, sample), answers + 1
+        whole = self.services.get(service, sample)
+        self.services[service] = _blend(whole, sample)
+
+    def keep_only(self, names: set[str]) -> None:
+        """Forgets routes that are no more."""
+        self.routes = {
+            key: each for key, each in self.routes.items() if key[0] in names
+        }
+
+
+def _blend(before: placement.Work, sample: placement.Work) -> placement.Work:
+    return placement.Work(
+        before.service_ms + MEMORY * (sample.service_ms - before.service_ms),
+        before.answer_kb + MEMORY * (sample.answer_kb - before.answer_kb),
+    )
