Spread requests by room and speed, and wait here instead of crowding upstreams

Now an upstream is drawn in proportion to its room and a power of its speed; checks come every 40 ms and a changed pace is told at once; a request for which no upstream has room waits in the process. Ruled out: less aging of reports alone, which keeps the herd.

--- /dev/null
+++ b/src/lovageyoke/limits/waiting_room.py
@@ -0,0 +1,127 @@
+"""Requests that wait in this process until an upstream has room.
+
+An upstream that is filled beyond its capacity slows down for all its
+requests, so under a burst they wait here, where the next free slot of any
+upstream can take them. Those that can still be answered within their target
+go first, by rank and then by the time that is left; the others take what
+remains. A request whose turn can't come in time is refused at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+GIVE_UP_SHARE = 0.5  # Of the time until the deadline, then it may try again.
+FIRST_GAP_MS = 5.0
+GAP_MEMORY = 0.1
+MOST_GAP_MS = 200.0
+MAX_WAITING = 2_000
+
+
+@attrs.define(eq=False)
+class Waiter:
+    """A request that waits.
+
+    Attributes:
+        priority: Its rank; 0 goes first.
+        arrived_ms: When it came.
+        target_ms: When its answer stops being worth most.
+        give_up_ms: When it is refused if it still waits.
+        start: Starts it if an upstream has room, and returns whether one
+            had.
+        refuse: Ends its wait without a start.
+    """
+
+    priority: int
+    arrived_ms: float
+    target_ms: float
+    give_up_ms: float
+    start: Callable[[], bool]
+    refuse: Callable[[], None]
+
+    def order(self, now_ms: float) -> tuple[bool, int, float]:
+        """Returns its place; smaller ones go first."""
+        return now_ms > self.target_ms, self.priority, self.target_ms
+
+
+class WaitingRoom:
+    """The requests of one service that wait.
+
+    Attributes:
+        waiters: The requests.
+        gap_ms: Mean time between two starts while requests wait.
+        last_start_ms: When the last one was started.
+        refused: Requests refused since the start.
+    """
+
+    def __init__(self) -> None:
+        self.waiters: list[Waiter] = []
+        self.gap_ms = FIRST_GAP_MS
+        self.last_start_ms: float | None = None
+        self.refused = 0
+
+    def expected_wait_ms(self, priority: int) -> float:
+        """Returns how long a request that comes now is expected to wait."""
+        ahead = sum(each.priority <= priority for each in self.waiters)
+        return (ahead + 1) * self.gap_ms
+
+    def admits(self, priority: int, left_ms: float) -> bool:
+        """Returns whether a request's turn will come in time.
+
+        Args:
+            priority: Its rank.
+            left_ms: Time within which it has to be started.
+        """
+        if len(self.waiters) >= MAX_WAITING:
+            return False
+        return not self.waiters or self.expected_wait_ms(priority) < left_ms
+
+    def enter(self, waiter: Waiter) -> None:
+        """Lets a request wait."""
+        self.waiters.append(waiter)
+
+    def leave(self, waiter: Waiter) -> None:
+        """Forgets a request whose caller has left."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+
+    def admit_next(self, now_ms: float, most: int) -> int:
+        """Starts waiting requests while upstreams have room.
+
+        Args:
+            now_ms: The time.
+            most: How many may be started.
+
+        Returns:
+            How many were.
+        """
+        self.refuse_late(now_ms)
+        self.waiters.sort(key=lambda each: each.order(now_ms))
+        started = 0
+        while started < most and self.waiters:
+            waiter = self.waiters[0]
+            if not waiter.start():
+                break
+            self.waiters.pop(0)
+            started += 1
+            self.note_start(now_ms)
+        if not self.waiters:
+            self.last_start_ms = None
+        return started
+
+    def refuse_late(self, now_ms: float) -> None:
+        """Refuses the requests that have waited for too long."""
+        late = [each for each in self.waiters if now_ms >= each.give_up_ms]
+        for waiter in late:
+            self.waiters.remove(waiter)
+            self.refused += 1
+            waiter.refuse()
+
+    def note_start(self, now_ms: float) -> None:
+        """Learns how often a request is started."""
+        if self.last_start_ms is not None:
+            gap_ms = min(now_ms - self.last_start_ms, MOST_GAP_MS)
+            self.gap_ms += GAP_MEMORY * (gap_ms - self.gap_ms)
+        self.last_start_ms = now_ms
--- a/src/lovageyoke/node/prober.py
+++ b/src/lovageyoke/node/prober.py
@@ -11,7 +11,7 @@
 from lovageyoke.node import state as node_state
 from lovageyoke.routing import load_view
 
-PERIOD_MS = 100.0  # Several checks between two changes of an upstream's pace.
+PERIOD_MS = 40.0  # Paces last for about half a second.
 SLOW_PERIOD_MS = 1_000.0  # For upstreams whose check uses a slot.
 ANSWER_TIMEOUT_MS = 300.0
 DUTY_MS = 200.0  # How often the duties are dealt anew.
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import signal
 
 import attrs
@@ -20,7 +21,10 @@
 from lovageyoke.routing import registry_model as model
 from lovageyoke.store import revisions
 
-HEARTBEAT_MS = 100.0  # Much shorter than an upstream's pace lasts.
+HEARTBEAT_MS = 50.0  # Much shorter than an upstream's pace lasts.
+LEAST_GAP_MS = 10.0  # Between two heartbeats, however urgent.
+MS_PER_SECOND = 1_000.0
+ADMIT_MS = 15.0  # How often waiting requests are tried again.
 TIDY_MS = 1_000.0
 STOP_MARGIN_MS = 600.0  # What is left of the grace when the process ends.
 LINGER_MS = 3_000.0  # Callers may still come for a while after the signal.
@@ -176,6 +180,7 @@
                 self.prober.run(),
                 self.beat(),
                 self.tidy(),
+                self.admit(),
             )
         ]
         stopped = asyncio.ensure_future(self.stopping.wait())
@@ -243,9 +248,22 @@
 
     async def beat(self) -> None:
         """Sends heartbeats until cancelled."""
+        urgent = self.node.urgent
         while True:
             self.send_heartbeat()
-            await self.node.clock.sleep_ms(HEARTBEAT_MS)
+            await self.node.clock.sleep_ms(LEAST_GAP_MS)
+            left_ms = HEARTBEAT_MS - LEAST_GAP_MS
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_ms / MS_PER_SECOND):
+                    await urgent.wait()
+            urgent.clear()
+
+    async def admit(self) -> None:
+        """Starts waiting requests until cancelled."""
+        while True:
+            await self.node.waiting.wait()
+            await self.node.clock.sleep_ms(ADMIT_MS)
+            self.node.admit_waiting()
 
     async def tidy(self) -> None:
         """Closes what was idle for too long, and forgets the silent."""
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -12,6 +12,7 @@
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
+from lovageyoke.limits import waiting_room
 from lovageyoke.node import state as node_state
 from lovageyoke.retry import progress as retry_progress
 from lovageyoke.routing import load_view
@@ -35,6 +36,7 @@
         delivery: What became of it so far.
         progress: How far it should have come.
         hedge: Whether another attempt was running when it began.
+        crowded: Whether the upstream was fuller than is comfortable.
     """
 
     view: load_view.UpstreamView
@@ -42,6 +44,7 @@
     delivery: hop_attempt.Delivery
     progress: retry_progress.Progress
     hedge: bool
+    crowded: bool
 
 
 @attrs.frozen
@@ -107,7 +110,7 @@
 
     async def race(self) -> Outcome:
         """Starts attempts and takes their results until one decides."""
-        refusal = self.try_start()
+        refusal = await self.admit()
         if refusal is not None:
             return Outcome(None, refusal)
         while True:
@@ -131,41 +134,118 @@
 
     # Starting
 
-    def choose(self) -> placement.Choice | None:
-        """Returns the best upstream that was not tried."""
+    def appraise(self) -> list[placement.Choice]:
+        """Returns what to expect of each upstream that was not tried."""
         node = self.node
-        return placement.choose(
+        return placement.appraise_all(
             node.loads.of_service(self.service),
-            node.work.of(self.route, self.service),
+            self.work,
             failure_domain=node.failure_domain,
             usual=node.loads.usual_pace(self.service),
             now_ms=node.clock.now_ms(),
-            rng=node.rng,
             excluded=self.tried,
         )
 
-    def try_start(self) -> kinds.ErrorKind | None:
-        """Starts the first attempt; returns why not if it can't."""
-        choice = self.choose()
-        if choice is None:
+    @property
+    def work(self) -> placement.Work:
+        """What the request is expected to need."""
+        return self.node.work.of(self.route, self.service)
+
+    @property
+    def target_ms(self) -> float:
+        """When an answer stops being worth most."""
+        return self.arrived_ms + self.route.target_latency_ms
+
+    async def admit(self) -> kinds.ErrorKind | None:
+        """Starts the first attempt, now or when an upstream has room.
+
+        Returns:
+            Why none was started, None if one was.
+        """
+        choices = self.appraise()
+        if not choices:
             return Kind.NO_UPSTREAM
         now_ms = self.node.clock.now_ms()
-        if now_ms + choice.finish_ms > self.sending.deadline_ms:
+        soonest_ms = min(each.finish_ms for each in choices)
+        if now_ms + soonest_ms > self.sending.deadline_ms:
+            return Kind.OVERLOADED
+        room = self.node.waiting_room(self.service)
+        if not room.waiters and self.start_if_fitting():
+            return None
+        left_ms = self.sending.deadline_ms - now_ms
+        wait_ms = left_ms * waiting_room.GIVE_UP_SHARE
+        if not room.admits(self.route.priority, wait_ms):
             return Kind.OVERLOADED
+        return await self.wait_in(room, now_ms + wait_ms)
+
+    async def wait_in(
+        self, room: waiting_room.WaitingRoom, give_up_ms: float
+    ) -> kinds.ErrorKind | None:
+        """Waits until the first attempt was started or refused."""
+        started: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def end(outcome: bool) -> None:
+            if not started.done():
+                started.set_result(outcome)
+
+        def start() -> bool:
+            if started.done() or not self.start_if_fitting():
+                return False
+            end(True)
+            return True
+
+        waiter = waiting_room.Waiter(
+            self.route.priority,
+            self.arrived_ms,
+            self.target_ms,
+            give_up_ms,
+            start,
+            lambda: end(False),
+        )
+        room.enter(waiter)
+        self.node.waiting.set()
+        self.story.append(f"wait behind={len(room.waiters) - 1}")
+        try:
+            return None if await started else Kind.OVERLOADED
+        finally:
+            room.leave(waiter)
+
+    def start_if_fitting(self) -> bool:
+        """Starts the first attempt if an upstream has room for it.
+
+        While the target can still be met, only upstreams that meet it will
+        do; later any that answers before the deadline.
+        """
+        choices = self.appraise()
+        now_ms = self.node.clock.now_ms()
+        in_time = placement.fitting(choices, self.work, self.target_ms - now_ms)
+        soonest_ms = min((each.finish_ms for each in choices), default=0.0)
+        if not in_time and now_ms + soonest_ms > self.target_ms:
+            left_ms = self.sending.deadline_ms - now_ms
+            in_time = placement.fitting(choices, self.work, left_ms)
+        choice = placement.draw(in_time, self.work, self.node.rng)
+        if choice is None:
+            return False
         self.start(choice, hedge=False)
-        return None
+        return True
+
+    def choose_other(self) -> placement.Choice | None:
+        """Returns an upstream for another attempt, if one is good enough."""
+        choices = self.appraise()
+        left_ms = self.sending.deadline_ms - self.node.clock.now_ms()
+        with_room = placement.fitting(choices, self.work, left_ms)
+        return placement.draw(with_room, self.work, self.node.rng)
 
     def try_again(self) -> kinds.ErrorKind | None:
         """Starts another attempt after a failure; returns why not."""
         kind = self.last_kind or Kind.UPSTREAM_RESET
         if not self.may_repeat(kind):
             return kind
-        choice = self.choose()
+        choice = self.choose_other()
         if choice is None:
             return kind
-        now_ms = self.node.clock.now_ms()
-        if now_ms + 0.7 * choice.finish_ms > self.sending.deadline_ms:
-            return kind
         if self.sends > 0 and not self.spend():
             return kind
         self.start(choice, hedge=False)
@@ -193,13 +273,14 @@
         """Starts an attempt."""
         view = choice.view
         now_ms = self.node.clock.now_ms()
-        work = self.node.work.of(self.route, self.service)
+        work = self.work
         usual = self.node.loads.usual_pace(self.service)
-        queue_ms = choice.finish_ms - view.pace(now_ms, usual) * work.service_ms
+        pace = view.pace(now_ms, usual)
+        queue_ms = choice.finish_ms - pace * work.service_ms
         self.story.append(
             f"{'hedge' if hedge else 'send'} {view.upstream.upstream_id}"
             f" at={now_ms - self.arrived_ms:.0f}"
-            f" pace={view.pace(now_ms, usual):.1f} load={view.load()}"
+            f" pace={pace:.1f} load={view.load()}"
             f"/{view.slots()} age={min(now_ms - view.reported_ms, 99999):.0f}"
             f" expect={choice.finish_ms:.0f}"
         )
@@ -211,10 +292,13 @@
         view.own += 1
         self.tried.add(view.upstream.key)
         self.sends += 1
+        crowded = view.load() > placement.COMFORTABLE_SHARE * view.slots()
         progress = retry_progress.Progress(
             max(1.0, work.service_ms), max(0.0, queue_ms), now_ms, now_ms
         )
-        self.running.append(Attempt(view, task, delivery, progress, hedge))
+        self.running.append(
+            Attempt(view, task, delivery, progress, hedge, crowded)
+        )
 
     # Results
 
@@ -223,6 +307,7 @@
         for attempt in [each for each in self.running if each.task.done()]:
             self.running.remove(attempt)
             attempt.view.own -= 1
+            self.node.slot_freed(self.service)
             outcome = self.take_result(attempt)
             if outcome is not None:
                 return outcome
@@ -286,9 +371,10 @@
             node.work.record(
                 self.route,
                 self.service,
-                now_ms - attempt.progress.started_ms,
-                attempt.progress.mean_pace(now_ms),
-                len(response.body),
+                elapsed_ms=now_ms - attempt.progress.started_ms,
+                pace=attempt.progress.mean_pace(now_ms),
+                answer_bytes=len(response.body),
+                crowded=attempt.crowded,
             )
 
     # Hedging
@@ -307,7 +393,7 @@
         if self.sink is not None and self.sink.streaming:
             return
         remaining_ms = attempt.progress.remaining_ms(pace)
-        choice = self.choose()
+        choice = self.choose_other()
         if choice is None:
             return
         if not retry_progress.worth_hedging(
@@ -327,6 +413,7 @@
         for attempt in self.running:
             attempt.task.cancel()
             attempt.view.own -= 1
+            self.node.slot_freed(self.service)
             if attempt.progress.done > ABANDONED:
                 attempt.view.record_outcome(True, now_ms)
                 self.node.note_failure(attempt.view)
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 import random
 
@@ -9,6 +10,7 @@
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
 from lovageyoke.hop import attempt as hop_attempt
+from lovageyoke.limits import waiting_room
 from lovageyoke.node import settings as node_settings
 from lovageyoke.observe import events
 from lovageyoke.retry import window_budget
@@ -17,6 +19,8 @@
 from lovageyoke.routing import route_table
 from lovageyoke.routing import work_estimate
 
+URGENT_CHANGE = 1.5  # A pace that changed so much moves requests elsewhere.
+
 DecodeLoad = Callable[[bytes | None], load_view.LoadReport | None]
 DecodeDeadline = Callable[[bytes | None], float | None]
 
@@ -41,6 +45,9 @@
         upstreams_known: Whether the upstreams were listed.
         leaving: Whether the process is about to stop.
         unsent: Upstreams whose report the next heartbeat tells.
+        urgent: Set when the others should be told at once.
+        waiting: Set when a request begins to wait.
+        rooms: Requests that wait, by service.
         failures: Failures by upstream id that it tells.
     """
 
@@ -72,6 +79,9 @@
         self.leaving = False
         self.unsent: dict[str, load_view.UpstreamView] = {}
         self.failures: dict[str, int] = {}
+        self.urgent = asyncio.Event()
+        self.waiting = asyncio.Event()
+        self.rooms: dict[str, waiting_room.WaitingRoom] = {}
 
     @property
     def failure_domain(self) -> str:
@@ -114,6 +124,46 @@
             self.budgets[service] = budget
         return budget
 
+    def waiting_room(self, service: str) -> waiting_room.WaitingRoom:
+        """Returns the waiting room of a service."""
+        room = self.rooms.get(service)
+        if room is None:
+            room = waiting_room.WaitingRoom()
+            self.rooms[service] = room
+        return room
+
+    def slot_freed(self, service: str) -> None:
+        """Lets the next request take the slot of one that has ended."""
+        room = self.rooms.get(service)
+        if room is not None and room.waiters:
+            asyncio.get_running_loop().call_soon(self.admit_one, room)
+
+    def admit_one(self, room: waiting_room.WaitingRoom) -> None:
+        """Starts the request that waits at the head of a room."""
+        room.admit_next(self.clock.now_ms(), 1)
+
+    def admit_waiting(self) -> None:
+        """Starts waiting requests where other processes have left room.
+
+        All processes see the same room at the same time, so each takes only
+        its part, by chance if that is less than one request.
+        """
+        if not any(room.waiters for room in self.rooms.values()):
+            self.waiting.clear()
+            return
+        now_ms = self.clock.now_ms()
+        processes = len(self.members.working_ids(now_ms))
+        for service, room in self.rooms.items():
+            if not room.waiters:
+                continue
+            slots = sum(
+                max(0.0, view.slots() - view.load())
+                for view in self.loads.of_service(service)
+            )
+            share = slots / processes
+            most = int(share + self.rng.random())
+            room.admit_next(now_ms, max(0, most))
+
     def take_report(
         self,
         view: load_view.UpstreamView,
@@ -121,8 +171,17 @@
         now_ms: float,
     ) -> None:
         """Takes a report that this process got itself, to tell others."""
-        if self.loads.take_report(view, report, now_ms):
-            self.unsent[view.upstream.upstream_id] = view
+        if not self.loads.take_report(view, report, now_ms):
+            return
+        self.unsent[view.upstream.upstream_id] = view
+        pace = report.pace
+        if pace is None:
+            return
+        change = max(pace, view.told_pace) / max(
+            0.01, min(pace, view.told_pace)
+        )
+        if change >= URGENT_CHANGE:
+            self.urgent.set()
 
     def note_failure(self, view: load_view.UpstreamView) -> None:
         """Notes a failed exchange, to tell others."""
@@ -136,6 +195,7 @@
         for upstream_id, view in self.unsent.items():
             report = view.report or load_view.LoadReport(0, 0, 0)
             pace = report.pace or 0.0
+            view.told_pace = pace or view.told_pace
             age_ms = min(now_ms - view.reported_ms, 60_000.0)
             reports.append(
                 messages.Report(
--- a/src/lovageyoke/routing/placement.py
+++ b/src/lovageyoke/routing/placement.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+import math
 import random
 
 import attrs
@@ -20,8 +21,9 @@
 CROSS_DOMAIN_MS_PER_KB = 2.5  # Large answers stay in their domain if they can.
 UNHEALTHY_MS = 2_000.0  # Taken only when no other upstream is left.
 FAILURE_MS = 1_500.0  # What a certain failure costs the caller.
-FULL_SLOWDOWN = 0.15  # Upstreams slow down a little when nearly full.
-JITTER = 0.12  # Spreads processes that would choose the same upstream.
+COMFORTABLE_SHARE = 0.8  # Many upstreams slow down when fuller than this.
+LEAST_ROOM = 0.2
+SELECTIVITY = 6.0  # An upstream that takes twice as long gets 1/64 as many.
 
 
 @attrs.frozen
@@ -31,10 +33,13 @@
     Attributes:
         service_ms: Time of work at an upstream of usual pace.
         answer_kb: Size of its answer in kilobytes.
+        crowding: How much longer work takes at an upstream that is fuller
+            than ``COMFORTABLE_SHARE``.
     """
 
     service_ms: float
     answer_kb: float
+    crowding: float = 1.3
 
 
 @attrs.frozen
@@ -65,28 +70,72 @@
     """
     slots = view.slots()
     load = view.load()
-    ahead = max(0, load + 1 - slots)
     each_ms = view.pace(now_ms, usual) * work.service_ms
-    each_ms *= 1.0 + FULL_SLOWDOWN * min(1.0, load / slots)
+    if load + 1 > COMFORTABLE_SHARE * slots:
+        each_ms *= work.crowding
+    ahead = max(0, load + 1 - slots)
     return each_ms * (1.0 + ahead / slots)
 
 
+def capacity(view: load_view.UpstreamView, work: Work) -> float:
+    """Returns how many requests at once an upstream serves best.
+
+    Above its comfortable share an upstream that slows down serves fewer
+    requests a second than below it.
+    """
+    slots = view.slots()
+    comfortable = math.floor(COMFORTABLE_SHARE * slots)
+    if slots / work.crowding < comfortable:
+        return max(1, comfortable)
+    return slots
+
+
+def room(view: load_view.UpstreamView, work: Work) -> float:
+    """Returns how many more requests an upstream takes without crowding."""
+    return max(0.0, capacity(view, work) - view.load())
+
+
 def usable(view: load_view.UpstreamView) -> bool:
     """Returns whether new requests may go to an upstream."""
     return not view.upstream.draining
 
 
-def choose(
+def appraise(
+    view: load_view.UpstreamView,
+    work: Work,
+    failure_domain: str,
+    usual: float,
+    now_ms: float,
+) -> Choice:
+    """Returns what to expect of an upstream.
+
+    Args:
+        view: The upstream.
+        work: What the request needs.
+        failure_domain: Where this process runs.
+        usual: Pace of an upstream that nothing is known of.
+        now_ms: The time.
+    """
+    finish_ms = expected_finish_ms(view, work, now_ms, usual)
+    cost_ms = finish_ms + FAILURE_MS * view.aged_failure_rate(now_ms)
+    if view.upstream.failure_domain != failure_domain:
+        finish_ms += CROSS_DOMAIN_MS
+        cost_ms += CROSS_DOMAIN_MS + CROSS_DOMAIN_MS_PER_KB * work.answer_kb
+    if view.unhealthy or view.silent_probes >= load_view.SILENT_PROBES:
+        cost_ms += UNHEALTHY_MS
+    return Choice(view, finish_ms, cost_ms)
+
+
+def appraise_all(
     views: Iterable[load_view.UpstreamView],
     work: Work,
     *,
     failure_domain: str,
     usual: float,
     now_ms: float,
-    rng: random.Random,
     excluded: Collection[tuple[str, int]] = (),
-) -> Choice | None:
-    """Returns the best upstream for a request, None when there is none.
+) -> list[Choice]:
+    """Returns what to expect of each upstream that may take a request.
 
     Args:
         views: The upstreams of the request's service.
@@ -94,22 +143,52 @@
         failure_domain: Where this process runs.
         usual: Pace of an upstream that nothing is known of.
         now_ms: The time.
-        rng: Source of the jitter.
         excluded: Upstreams that were tried already.
     """
-    best: Choice | None = None
-    for view in views:
-        if not usable(view) or view.upstream.key in excluded:
-            continue
-        finish_ms = expected_finish_ms(view, work, now_ms, usual)
-        cost_ms = finish_ms * (1.0 + JITTER * rng.random())
-        cost_ms += FAILURE_MS * view.aged_failure_rate(now_ms)
-        if view.upstream.failure_domain != failure_domain:
-            finish_ms += CROSS_DOMAIN_MS
-            cost_ms += CROSS_DOMAIN_MS
-            cost_ms += CROSS_DOMAIN_MS_PER_KB * work.answer_kb
-        if view.unhealthy or view.silent_probes >= load_view.SILENT_PROBES:
-            cost_ms += UNHEALTHY_MS
-        if best is None or cost_ms < best.cost_ms:
-            best = Choice(view, finish_ms, cost_ms)
-    return best
+    return [
+        appraise(view, work, failure_domain, usual, now_ms)
+        for view in views
+        if usable(view) and view.upstream.key not in excluded
+    ]
+
+
+def fitting(
+    choices: Iterable[Choice], work: Work, most_ms: float
+) -> list[Choice]:
+    """Returns the upstreams with room that answer soon enough.
+
+    Args:
+        choices: What to expect of each upstream.
+        work: What the request needs.
+        most_ms: Longest time until the answer.
+    """
+    return [
+        each
+        for each in choices
+        if each.finish_ms <= most_ms and room(each.view, work) > 0.0
+    ]
+
+
+def draw(
+    choices: list[Choice], work: Work, rng: random.Random
+) -> Choice | None:
+    """Returns an upstream for a request, None when there is none.
+
+    Each upstream is drawn in proportion to its room and to a power of its
+    speed. Processes that share the same slightly old reports so spread their
+    requests over all good upstreams instead of crowding the best one.
+
+    Args:
+        choices: What to expect of each upstream.
+        work: What the request needs.
+        rng: Source of the draw.
+    """
+    if not choices:
+        return None
+    best_ms = min(each.cost_ms for each in choices)
+    weights = [
+        max(LEAST_ROOM, room(each.view, work))
+        * (best_ms / each.cost_ms) ** SELECTIVITY
+        for each in choices
+    ]
+    return rng.choices(choices, weights)[0]
--- a/src/lovageyoke/routing/work_estimate.py
+++ b/src/lovageyoke/routing/work_estimate.py
@@ -9,6 +9,7 @@
 FIRST_ANSWER_KB = 4.0
 MEMORY = 0.05  # Share of one answer in the estimate.
 MIN_SERVICE_MS = 1.0
+FIRST_CROWDING = 1.3  # Little enough to let upstreams be filled.
 MOST_SURPRISE = 3.0
 TRUSTED_ANSWERS = 8
 
@@ -22,11 +23,14 @@
     Attributes:
         routes: Estimates and the answers behind them, by route and service.
         services: Estimates by service.
+        crowding: How much longer work takes at a crowded upstream, by
+            service.
     """
 
     def __init__(self) -> None:
         self.routes: dict[tuple[str, str], tuple[placement.Work, int]] = {}
         self.services: dict[str, placement.Work] = {}
+        self.crowding: dict[str, float] = {}
 
     def of(self, route: model.Route, service: str) -> placement.Work:
         """Returns what a request is expected to need.
@@ -36,22 +40,24 @@
             service: The service that serves it.
         """
         work, answers = self.routes.get((route.name, service), (None, 0))
-        if work is not None and answers >= TRUSTED_ANSWERS:
-            return work
-        known = self.services.get(service)
-        if known is not None:
-            return known
-        aim_ms = min(route.target_latency_ms, route.timeout_ms)
-        first_ms = aim_ms * FIRST_SHARE_OF_TARGET
-        return placement.Work(first_ms, FIRST_ANSWER_KB)
+        if work is None or answers < TRUSTED_ANSWERS:
+            work = self.services.get(service)
+        if work is None:
+            aim_ms = min(route.target_latency_ms, route.timeout_ms)
+            first_ms = aim_ms * FIRST_SHARE_OF_TARGET
+            work = placement.Work(first_ms, FIRST_ANSWER_KB)
+        crowding = self.crowding.get(service, FIRST_CROWDING)
+        return placement.Work(work.service_ms, work.answer_kb, crowding)
 
     def record(
         self,
         route: model.Route,
         service: str,
+        *,
         elapsed_ms: float,
         pace: float,
         answer_bytes: int,
+        crowded: bool,
     ) -> None:
         """Learns from an answer.
 
@@ -61,10 +67,14 @@
             elapsed_ms: Time from sending to the answer.
             pace: Mean pace of the upstream meanwhile.
             answer_bytes: Size of the answer.
+            crowded: Whether the upstream was fuller than is comfortable.
         """
         service_ms = max(MIN_SERVICE_MS, elapsed_ms / max(0.1, pace))
         answer_kb = answer_bytes / 1_000.0
         expected = self.of(route, service)
+        if crowded:
+            self.record_crowded(service, service_ms / expected.service_ms)
+            return
         # One long wait in a queue says little about the work itself.
         service_ms = min(service_ms, MOST_SURPRISE * expected.service_ms)
         sample = placement.Work(service_ms, answer_kb)
@@ -74,6 +84,12 @@
         whole = self.services.get(service, sample)
         self.services[service] = _blend(whole, sample)
 
+    def record_crowded(self, service: str, slowdown: float) -> None:
+        """Learns how much longer an answer of a crowded upstream took."""
+        slowdown = min(max(slowdown, 1.0), MOST_SURPRISE)
+        known = self.crowding.get(service, FIRST_CROWDING)
+        self.crowding[service] = known + MEMORY * (slowdown - known)
+
     def keep_only(self, names: set[str]) -> None:
         """Forgets routes that are no more."""
         self.routes = {
