Start late requests last, hedge only while none wait, learn crowding anew

An unforeseen error in a handler is now logged and answered with 500; before, the caller saw a closed connection (a trial of broken code showed it).

--- a/src/lovageyoke/hop/server.py
+++ b/src/lovageyoke/hop/server.py
@@ -33,6 +33,10 @@
     ) -> None:
         """Answers one request by ``caller.answer`` or ``caller.start``."""
 
+    @abc.abstractmethod
+    def failed(self, request: messages.Request, error: Exception) -> None:
+        """Notes that answering a request failed for an unforeseen reason."""
+
     @abc.abstractmethod
     def limits(self) -> model.CallerLimits:
         """Returns the bounds on callers that are in force."""
@@ -77,6 +81,7 @@
         task: Answers the current request, None without one.
         current: The request that is being answered.
         streaming: Whether a part of the current answer has been sent.
+        answered: Whether the current answer is complete.
         timer: Ends the connection when the caller is too slow.
     """
 
@@ -94,6 +99,7 @@
         self.task: asyncio.Task[None] | None = None
         self.current: messages.Request | None = None
         self.streaming = False
+        self.answered = False
         self.chunked = False
         self.refused = False
         self.timer: asyncio.TimerHandle | None = None
@@ -287,6 +293,7 @@
         """Begins to answer the next whole request."""
         self.current = self.waiting.popleft()
         self.streaming = False
+        self.answered = False
         self.connections.reading += 1
         self.task = asyncio.ensure_future(self.run(self.current))
 
@@ -294,6 +301,12 @@
         """Answers one request, then the next."""
         try:
             await self.handler.handle(request, self)
+        except Exception as error:
+            self.handler.failed(request, error)
+            if self.streaming or self.answered:
+                self.abort()
+            else:
+                self.answer(error_response(kinds.ErrorKind.INTERNAL))
         finally:
             self.connections.reading -= 1
             self.task = None
@@ -319,6 +332,7 @@
     def finish(self) -> None:
         """Notes that the current answer is complete."""
         self.streaming = False
+        self.answered = True
 
     def count_head(self, size: int) -> None:
         """Refuses a head that is too large."""
--- a/src/lovageyoke/limits/waiting_room.py
+++ b/src/lovageyoke/limits/waiting_room.py
@@ -27,7 +27,7 @@
     Attributes:
         priority: Its rank; 0 goes first.
         arrived_ms: When it came.
-        target_ms: When its answer stops being worth most.
+        target_ms: When it has to start to be answered within its target.
         give_up_ms: When it is refused if it still waits.
         start: Starts it if an upstream has room, and returns whether one
             had.
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import traceback
+
 import attrs
 
 from lovageyoke.errors import kinds
@@ -12,6 +14,7 @@
 from lovageyoke.node import state as node_state
 from lovageyoke.routing import registry_model as model
 
+MAX_TRACE = 600  # Characters of a traceback in the log.
 DEFAULT_WAIT_MS = 60_000.0  # For callers that tell no deadline.
 RETRY_LEAST_MS = 40.0
 RETRY_MOST_MS = 250.0  # Paces change within this time.
@@ -77,6 +80,16 @@
             raise
         self.finish(race, outcome, caller)
 
+    def failed(self, request: messages.Request, error: Exception) -> None:
+        """Logs a fault of this process."""
+        identity = request.header(self.node.client.names.request_id) or b""
+        self.node.log.event(
+            "fault",
+            request=identity.decode("latin-1"),
+            error=repr(error),
+            where=traceback.format_exc()[-MAX_TRACE:],
+        )
+
     def limits(self) -> model.CallerLimits:
         """Returns the bounds on callers that are in force."""
         configuration = self.node.configuration
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -97,6 +97,10 @@
         )
         return self.dialect.encode_addresses(addresses, lifetime_ms)
 
+    def failed(self, request: messages.Request, error: Exception) -> None:
+        """Logs a fault of this process."""
+        self.node.log.event("fault", path=request.path, error=repr(error))
+
     def limits(self) -> model.CallerLimits:
         """Returns the bounds on callers."""
         return model.CallerLimits()
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -156,6 +156,11 @@
         """When an answer stops being worth most."""
         return self.arrived_ms + self.route.target_latency_ms
 
+    @property
+    def latest_start_ms(self) -> float:
+        """When a start at a usual upstream can't meet the target any more."""
+        return self.target_ms - placement.MARGIN * self.work.service_ms
+
     async def admit(self) -> kinds.ErrorKind | None:
         """Starts the first attempt, now or when an upstream has room.
 
@@ -199,7 +204,7 @@
         waiter = waiting_room.Waiter(
             self.route.priority,
             self.arrived_ms,
-            self.target_ms,
+            self.latest_start_ms,
             give_up_ms,
             start,
             lambda: end(False),
@@ -221,8 +226,7 @@
         choices = self.appraise()
         now_ms = self.node.clock.now_ms()
         in_time = placement.fitting(choices, self.work, self.target_ms - now_ms)
-        soonest_ms = min((each.finish_ms for each in choices), default=0.0)
-        if not in_time and now_ms + soonest_ms > self.target_ms:
+        if not in_time and now_ms > self.latest_start_ms:
             left_ms = self.sending.deadline_ms - now_ms
             in_time = placement.fitting(choices, self.work, left_ms)
         choice = placement.draw(in_time, self.work, self.node.rng)
@@ -364,6 +368,10 @@
         attempt.progress.advance(view.pace(now_ms, usual), now_ms)
         if report is not None:
             node.take_report(view, report, now_ms)
+        crowded = attempt.crowded
+        if report is not None:
+            busy = placement.COMFORTABLE_SHARE * report.slots
+            crowded = crowded or report.running >= busy
         if (
             response.status < messages.FIRST_REDIRECT_STATUS
             and attempt.progress.queue_ms <= 0.0
@@ -374,7 +382,7 @@
                 elapsed_ms=now_ms - attempt.progress.started_ms,
                 pace=attempt.progress.mean_pace(now_ms),
                 answer_bytes=len(response.body),
-                crowded=attempt.crowded,
+                crowded=crowded,
             )
 
     # Hedging
@@ -390,6 +398,8 @@
         attempt.progress.advance(pace, now_ms)
         if self.sends >= self.route.max_attempts:
             return
+        if self.node.waiting_room(self.service).waiters:
+            return
         if self.sink is not None and self.sink.streaming:
             return
         remaining_ms = attempt.progress.remaining_ms(pace)
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -10,7 +10,7 @@
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
 from lovageyoke.hop import attempt as hop_attempt
-from lovageyoke.limits import waiting_room
+from lovageyoke.limits import waiting_room as limits_waiting_room
 from lovageyoke.node import settings as node_settings
 from lovageyoke.observe import events
 from lovageyoke.retry import window_budget
@@ -81,7 +81,7 @@
         self.failures: dict[str, int] = {}
         self.urgent = asyncio.Event()
         self.waiting = asyncio.Event()
-        self.rooms: dict[str, waiting_room.WaitingRoom] = {}
+        self.rooms: dict[str, limits_waiting_room.WaitingRoom] = {}
 
     @property
     def failure_domain(self) -> str:
@@ -124,11 +124,11 @@
             self.budgets[service] = budget
         return budget
 
-    def waiting_room(self, service: str) -> waiting_room.WaitingRoom:
+    def waiting_room(self, service: str) -> limits_waiting_room.WaitingRoom:
         """Returns the waiting room of a service."""
         room = self.rooms.get(service)
         if room is None:
-            room = waiting_room.WaitingRoom()
+            room = limits_waiting_room.WaitingRoom()
             self.rooms[service] = room
         return room
 
@@ -138,7 +138,7 @@
         if room is not None and room.waiters:
             asyncio.get_running_loop().call_soon(self.admit_one, room)
 
-    def admit_one(self, room: waiting_room.WaitingRoom) -> None:
+    def admit_one(self, room: limits_waiting_room.WaitingRoom) -> None:
         """Starts the request that waits at the head of a room."""
         room.admit_next(self.clock.now_ms(), 1)
 
--- a/src/lovageyoke/routing/placement.py
+++ b/src/lovageyoke/routing/placement.py
@@ -22,7 +22,9 @@
 UNHEALTHY_MS = 2_000.0  # Taken only when no other upstream is left.
 FAILURE_MS = 1_500.0  # What a certain failure costs the caller.
 COMFORTABLE_SHARE = 0.8  # Many upstreams slow down when fuller than this.
+HARMLESS_CROWDING = 1.25
 LEAST_ROOM = 0.2
+MARGIN = 1.25  # Paces change while a request is worked on.
 SELECTIVITY = 6.0  # An upstream that takes twice as long gets 1/64 as many.
 
 
@@ -39,7 +41,7 @@
 
     service_ms: float
     answer_kb: float
-    crowding: float = 1.3
+    crowding: float = 1.0
 
 
 @attrs.frozen
@@ -80,14 +82,13 @@
 def capacity(view: load_view.UpstreamView, work: Work) -> float:
     """Returns how many requests at once an upstream serves best.
 
-    Above its comfortable share an upstream that slows down serves fewer
-    requests a second than below it.
+    Above its comfortable share an upstream that slows down serves hardly
+    more requests a second than below it, and each of them later.
     """
     slots = view.slots()
-    comfortable = math.floor(COMFORTABLE_SHARE * slots)
-    if slots / work.crowding < comfortable:
-        return max(1, comfortable)
-    return slots
+    if work.crowding < HARMLESS_CROWDING:
+        return slots
+    return max(1, math.floor(COMFORTABLE_SHARE * slots))
 
 
 def room(view: load_view.UpstreamView, work: Work) -> float:
@@ -165,7 +166,7 @@
     return [
         each
         for each in choices
-        if each.finish_ms <= most_ms and room(each.view, work) > 0.0
+        if MARGIN * each.finish_ms <= most_ms and room(each.view, work) > 0.0
     ]
 
 
--- a/src/lovageyoke/routing/work_estimate.py
+++ b/src/lovageyoke/routing/work_estimate.py
@@ -9,7 +9,8 @@
 FIRST_ANSWER_KB = 4.0
 MEMORY = 0.05  # Share of one answer in the estimate.
 MIN_SERVICE_MS = 1.0
-FIRST_CROWDING = 1.3  # Little enough to let upstreams be filled.
+FIRST_CROWDING = 1.4  # Upstreams aren't filled before it is known to be safe.
+CROWDING_MEMORY = 0.08  # Crowded upstreams are rare at first.
 MOST_SURPRISE = 3.0
 TRUSTED_ANSWERS = 8
 
@@ -88,7 +89,7 @@
         """Learns how much longer an answer of a crowded upstream took."""
         slowdown = min(max(slowdown, 1.0), MOST_SURPRISE)
         known = self.crowding.get(service, FIRST_CROWDING)
-        self.crowding[service] = known + MEMORY * (slowdown - known)
+        self.crowding[service] = known + CROWDING_MEMORY * (slowdown - known)
 
     def keep_only(self, names: set[str]) -> None:
         """Forgets routes that are no more."""
