--- a/src/lovageyoke/limits/waiting_room.py
+++ b/src/lovageyoke/limits/waiting_room.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from lovageyoke.routing import load_view
+
 GIVE_UP_SHARE = 0.5  # Of the time until the deadline, then it may try again.
 FIRST_GAP_MS = 5.0
 GAP_MEMORY = 0.1
@@ -30,7 +32,7 @@
         target_ms: When it has to start to be answered within its target.
         give_up_ms: When it is refused if it still waits.
         start: Starts it if an upstream has room, and returns whether one
-            had.
+            had. Its argument is the only upstream to take, None for any.
         refuse: Ends its wait without a start.
     """
 
@@ -38,7 +40,7 @@
     arrived_ms: float
     target_ms: float
     give_up_ms: float
-    start: Callable[[], bool]
+    start: Callable[[load_view.UpstreamView | None], bool]
     refuse: Callable[[], None]
 
     def order(self, now_ms: float) -> tuple[bool, int, float]:
@@ -87,26 +89,36 @@
         if waiter in self.waiters:
             self.waiters.remove(waiter)
 
-    def admit_next(self, now_ms: float, most: int) -> int:
+    def admit(
+        self, now_ms: float, freed: load_view.UpstreamView | None = None
+    ) -> int:
         """Starts waiting requests while upstreams have room.
 
         Args:
             now_ms: The time.
-            most: How many may be started.
+            freed: An upstream where a request of this process has ended; one
+                waiting request may take its slot. None to look at all.
 
         Returns:
-            How many were.
+            How many were started.
         """
         self.refuse_late(now_ms)
         self.waiters.sort(key=lambda each: each.order(now_ms))
         started = 0
-        while started < most and self.waiters:
-            waiter = self.waiters[0]
-            if not waiter.start():
-                break
-            self.waiters.pop(0)
+        full_for: set[bool] = set()
+        for waiter in list(self.waiters):
+            late = now_ms > waiter.target_ms
+            if late in full_for:
+                continue
+            if not waiter.start(freed):
+                # Late requests may go where others would become late.
+                full_for.add(late)
+                continue
+            self.waiters.remove(waiter)
             started += 1
             self.note_start(now_ms)
+            if freed is not None:
+                break
         if not self.waiters:
             self.last_start_ms = None
         return started
--- a/src/lovageyoke/node/prober.py
+++ b/src/lovageyoke/node/prober.py
@@ -24,12 +24,14 @@
     Attributes:
         node: What the process knows.
         tasks: One task for each upstream, by its identity.
+        phase_ms: When the checks of a period are sent.
         sent: Health checks sent since the start.
     """
 
     def __init__(self, node: node_state.NodeState) -> None:
         self.node = node
         self.tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self.phase_ms = node.rng.uniform(0.0, PERIOD_MS)
         self.sent = 0
 
     async def run(self) -> None:
@@ -63,20 +65,26 @@
     async def check(self, view: load_view.UpstreamView) -> None:
         """Checks one upstream again and again over one connection."""
         connection: hop_connection.ClientConnection | None = None
-        await self.node.clock.sleep_ms(self.node.rng.uniform(0.0, PERIOD_MS))
         try:
             while True:
-                began_ms = self.node.clock.now_ms()
-                connection = await self.check_once(view, connection)
-                period_ms = PERIOD_MS
+                pause_ms = self.until_check_ms()
                 if view.report is None or view.report.pace is None:
-                    period_ms = SLOW_PERIOD_MS
-                took_ms = self.node.clock.now_ms() - began_ms
-                await self.node.clock.sleep_ms(max(5.0, period_ms - took_ms))
+                    pause_ms += SLOW_PERIOD_MS
+                await self.node.clock.sleep_ms(pause_ms)
+                connection = await self.check_once(view, connection)
         finally:
             if connection is not None:
                 connection.abort()
 
+    def until_check_ms(self) -> float:
+        """Returns the time until the next checks, in milliseconds.
+
+        All checks of a process are sent together, so that one message tells
+        the others what they found while it is new.
+        """
+        since_ms = (self.node.clock.now_ms() - self.phase_ms) % PERIOD_MS
+        return PERIOD_MS - since_ms
+
     async def check_once(
         self,
         view: load_view.UpstreamView,
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -21,10 +21,9 @@
 from lovageyoke.routing import registry_model as model
 from lovageyoke.store import revisions
 
-HEARTBEAT_MS = 50.0  # Much shorter than an upstream's pace lasts.
+CHECK_ANSWERS_MS = 8.0  # Health checks are answered in this time, mostly.
 LEAST_GAP_MS = 10.0  # Between two heartbeats, however urgent.
 MS_PER_SECOND = 1_000.0
-ADMIT_MS = 15.0  # How often waiting requests are tried again.
 TIDY_MS = 1_000.0
 STOP_MARGIN_MS = 600.0  # What is left of the grace when the process ends.
 LINGER_MS = 3_000.0  # Callers may still come for a while after the signal.
@@ -256,7 +255,7 @@
         while True:
             self.send_heartbeat()
             await self.node.clock.sleep_ms(LEAST_GAP_MS)
-            left_ms = HEARTBEAT_MS - LEAST_GAP_MS
+            left_ms = self.prober.until_check_ms() + CHECK_ANSWERS_MS
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left_ms / MS_PER_SECOND):
                     await urgent.wait()
@@ -266,7 +265,7 @@
         """Starts waiting requests until cancelled."""
         while True:
             await self.node.waiting.wait()
-            await self.node.clock.sleep_ms(ADMIT_MS)
+            await self.node.clock.sleep_ms(node_state.ADMIT_MS)
             self.node.admit_waiting()
 
     async def tidy(self) -> None:
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -19,6 +19,7 @@
 from lovageyoke.routing import placement
 from lovageyoke.routing import registry_model as model
 
+NEWS_AGE_MS = 30.0  # Requests sent so lately aren't in the loads yet.
 LOOK_MS = 30.0  # How often running attempts are compared with others.
 ABANDONED = 2.0  # An attempt this far past its work has failed its caller.
 MS_PER_SECOND = 1_000.0
@@ -195,8 +196,8 @@
             if not started.done():
                 started.set_result(outcome)
 
-        def start() -> bool:
-            if started.done() or not self.start_if_fitting():
+        def start(freed: load_view.UpstreamView | None) -> bool:
+            if started.done() or not self.start_if_fitting(freed, True):
                 return False
             end(True)
             return True
@@ -217,24 +218,62 @@
         finally:
             room.leave(waiter)
 
-    def start_if_fitting(self) -> bool:
+    def start_if_fitting(
+        self,
+        freed: load_view.UpstreamView | None = None,
+        waits: bool = False,
+    ) -> bool:
         """Starts the first attempt if an upstream has room for it.
 
         While the target can still be met, only upstreams that meet it will
         do; later any that answers before the deadline.
+
+        Args:
+            freed: The only upstream to take, where a request of this process
+                has just ended. Other room is seen by all processes at once,
+                so it is taken by chance.
+            waits: Whether the request has waited for room.
+
+        Returns:
+            Whether an attempt was started.
         """
         choices = self.appraise()
         now_ms = self.node.clock.now_ms()
-        in_time = placement.fitting(choices, self.work, self.target_ms - now_ms)
-        if not in_time and now_ms > self.latest_start_ms:
+        good = placement.fitting(choices, self.work, self.target_ms - now_ms)
+        if not good and now_ms > self.latest_start_ms:
             left_ms = self.sending.deadline_ms - now_ms
-            in_time = placement.fitting(choices, self.work, left_ms)
-        choice = placement.draw(in_time, self.work, self.node.rng)
+            good = placement.fitting(choices, self.work, left_ms)
+        if freed is not None:
+            good = [each for each in good if each.view is freed]
+        elif not self.takes_shared_room(good, waits):
+            return False
+        choice = placement.draw(good, self.work, self.node.rng)
         if choice is None:
             return False
         self.start(choice, hedge=False)
         return True
 
+    def takes_shared_room(
+        self, choices: list[placement.Choice], waits: bool
+    ) -> bool:
+        """Returns whether to take room that all processes see.
+
+        Args:
+            choices: The upstreams with room.
+            waits: Whether the request has waited; then those of other
+                processes wait too.
+        """
+        node = self.node
+        now_ms = node.clock.now_ms()
+        rooms = sum(placement.room(each.view, self.work) for each in choices)
+        processes = len(node.members.working_ids(now_ms))
+        if waits:
+            rivals = processes * NEWS_AGE_MS / node_state.ADMIT_MS
+        else:
+            own_rate = node.budget(self.service).requests_per_ms(now_ms)
+            rivals = processes * own_rate * NEWS_AGE_MS
+        return node.rng.random() * rivals < rooms
+
     def choose_other(self) -> placement.Choice | None:
         """Returns an upstream for another attempt, if one is good enough."""
         choices = self.appraise()
@@ -311,7 +350,7 @@
         for attempt in [each for each in self.running if each.task.done()]:
             self.running.remove(attempt)
             attempt.view.own -= 1
-            self.node.slot_freed(self.service)
+            self.node.slot_freed(self.service, attempt.view)
             outcome = self.take_result(attempt)
             if outcome is not None:
                 return outcome
@@ -423,7 +462,7 @@
         for attempt in self.running:
             attempt.task.cancel()
             attempt.view.own -= 1
-            self.node.slot_freed(self.service)
+            self.node.slot_freed(self.service, attempt.view)
             if attempt.progress.done > ABANDONED:
                 attempt.view.record_outcome(True, now_ms)
                 self.node.note_failure(attempt.view)
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -21,6 +21,8 @@
 
 URGENT_CHANGE = 1.5  # A pace that changed so much moves requests elsewhere.
 
+ADMIT_MS = 20.0  # How often waiting requests are tried again.
+
 DecodeLoad = Callable[[bytes | None], load_view.LoadReport | None]
 DecodeDeadline = Callable[[bytes | None], float | None]
 
@@ -132,37 +134,30 @@
             self.rooms[service] = room
         return room
 
-    def slot_freed(self, service: str) -> None:
+    def slot_freed(self, service: str, view: load_view.UpstreamView) -> None:
         """Lets the next request take the slot of one that has ended."""
         room = self.rooms.get(service)
         if room is not None and room.waiters:
-            asyncio.get_running_loop().call_soon(self.admit_one, room)
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.admit_freed, room, view)
 
-    def admit_one(self, room: limits_waiting_room.WaitingRoom) -> None:
-        """Starts the request that waits at the head of a room."""
-        room.admit_next(self.clock.now_ms(), 1)
+    def admit_freed(
+        self,
+        room: limits_waiting_room.WaitingRoom,
+        view: load_view.UpstreamView,
+    ) -> None:
+        """Starts a waiting request at an upstream that has a free slot."""
+        room.admit(self.clock.now_ms(), view)
 
     def admit_waiting(self) -> None:
-        """Starts waiting requests where other processes have left room.
-
-        All processes see the same room at the same time, so each takes only
-        its part, by chance if that is less than one request.
-        """
+        """Starts waiting requests where upstreams have room."""
         if not any(room.waiters for room in self.rooms.values()):
             self.waiting.clear()
             return
         now_ms = self.clock.now_ms()
-        processes = len(self.members.working_ids(now_ms))
-        for service, room in self.rooms.items():
-            if not room.waiters:
-                continue
-            slots = sum(
-                max(0.0, view.slots() - view.load())
-                for view in self.loads.of_service(service)
-            )
-            share = slots / processes
-            most = int(share + self.rng.random())
-            room.admit_next(now_ms, max(0, most))
+        for room in self.rooms.values():
+            if room.waiters:
+                room.admit(now_ms)
 
     def take_report(
         self,
