--- a/src/lovageyoke/limits/waiting_room.py
+++ b/src/lovageyoke/limits/waiting_room.py
@@ -105,15 +105,10 @@
         self.refuse_late(now_ms)
         self.waiters.sort(key=lambda each: each.order(now_ms))
         started = 0
-        full_for: set[bool] = set()
         for waiter in list(self.waiters):
-            late = now_ms > waiter.target_ms
-            if late in full_for:
-                continue
             if not waiter.start(freed):
-                # Late requests may go where others would become late.
-                full_for.add(late)
-                continue
+                # Late requests would take slots that those in time need.
+                break
             self.waiters.remove(waiter)
             started += 1
             self.note_start(now_ms)
--- /dev/null
+++ b/tests/hop/test_connection.py
@@ -0,0 +1,197 @@
+"""Responses are matched to their requests, whatever an upstream sends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import socket
+import struct
+
+import pytest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from lovageyoke.errors import exceptions
+from lovageyoke.errors import kinds
+from lovageyoke.hop import connection as hop_connection
+from lovageyoke.hop import messages
+
+pytestmark = pytest.mark.anyio
+
+HEAD = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+Kind = kinds.ErrorKind
+
+
+def response(
+    identity: bytes = b"one", body: bytes = b"hello", extra: bytes = b""
+) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nX-Id: %b\r\n%bContent-Length: %d\r\n\r\n%b" % (
+        identity,
+        extra,
+        len(body),
+        body,
+    )
+
+
+class Upstream:
+    """Sends scripted bytes for each request it reads."""
+
+    def __init__(self) -> None:
+        self.script: list[bytes] = []
+        self.then: Callable[[asyncio.StreamWriter], None] = lambda _: None
+        self.port = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                break
+            writer.write(self.script.pop(0))
+            await writer.drain()
+            if not self.script:
+                break
+        self.then(writer)
+        await asyncio.sleep(0.5)
+        writer.close()
+
+
+@pytest.fixture
+async def upstream() -> AsyncIterator[Upstream]:
+    scripted = Upstream()
+    server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+    scripted.port = server.sockets[0].getsockname()[1]
+    yield scripted
+    server.close()
+
+
+@pytest.fixture
+async def connection(
+    upstream: Upstream,
+) -> AsyncIterator[hop_connection.ClientConnection]:
+    opened = await hop_connection.connect(
+        "127.0.0.1", upstream.port, b"x-id", 1_000.0
+    )
+    yield opened
+    opened.abort()
+
+
+async def exchange(
+    connection: hop_connection.ClientConnection, identity: bytes = b"one"
+) -> messages.Response:
+    async with asyncio.timeout(2.0):
+        return await connection.begin(HEAD, b"", identity)
+
+
+async def test_a_connection_is_used_again(
+    upstream: Upstream, connection: hop_connection.ClientConnection
+) -> None:
+    upstream.script = [response(b"one"), response(b"two", b"again")]
+    first = await exchange(connection, b"one")
+    assert_that(first.body, matchers.Equals(b"hello"))
+    assert_that(connection.usable(), matchers.Equals(True))
+    second = await exchange(connection, b"two")
+    assert_that(second.body, matchers.Equals(b"again"))
+
+
+async def test_another_request_s_response_is_passed_over(
+    upstream: Upstream, connection: hop_connection.ClientConnection
+) -> None:
+    upstream.script = [response(b"old", b"stale") + response(b"one")]
+    answer = await exchange(connection)
+    assert_that(answer.body, matchers.Equals(b"hello"))
+    assert_that(connection.usable(), matchers.Equals(False))
+
+
+async def test_bytes_after_a_response_spoil_the_connection(
+    upstream: Upstream, connection: hop_connection.ClientConnection
+) -> None:
+    upstream.script = [response() + response(b"one", b"more")]
+    answer = await exchange(connection)
+    assert_that(answer.body, matchers.Equals(b"hello"))
+    assert_that(connection.usable(), matchers.Equals(False))
+
+
+async def test_bytes_on_an_idle_connection_end_it(
+    upstream: Upstream, connection: hop_connection.ClientConnection
+) -> None:
+    upstream.script = [response()]
+    upstream.then = lambda writer: writer.write(response(b"late"))
+    await exchange(connection)
+    await asyncio.sleep(0.05)
+    assert_that(connection.usable(), matchers.Equals(False))
+
+
+async def test_a_truncated_response_is_an_error(
+    upstream: Upstream, connection: hop_connection.ClientConnection
+) -> None:
+    upstream.script = [response()[:-2]]
+    upstream.then = lambda writer: writer.close()
+    with pytest.raises(exceptions.UpstreamError) as raised:
+        await exchange(connection)
+    assert_that(raised.value.kind, matchers.Equals(Kind.RESPONSE_TRUNCATED))
+
+
+async def test_bytes_that_are_no_response_are_an_error(
+    upstream: Upstream, connection: hop_connection.ClientConnection
+) -> None:
+    upstream.script = [b"\x00\x01\x02 nonsense\r\n\r\n"]
+    with pytest.raises(exceptions.UpstreamError) as raised:
+        await exchange(connection)
+    assert_that(raised.value.kind, matchers.Equals(Kind.UPSTREAM_PROTOCOL))
+
+
+async def test_a_body_that_ends_with_the_connection(
+    upstream: Upstream, connection: hop_connection.ClientConnection
+) -> None:
+    upstream.script = [b"HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\nwhole"]
+    upstream.then = lambda writer: writer.close()
+    answer = await exchange(connection)
+    assert_that(answer.body, matchers.Equals(b"whole"))
+    assert_that(connection.usable(), matchers.Equals(False))
+
+
+async def test_such_a_body_is_not_whole_after_a_reset(
+    upstream: Upstream, connection: hop_connection.ClientConnection
+) -> None:
+    upstream.script = [b"HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\nwho"]
+
+    def reset(writer: asyncio.StreamWriter) -> None:
+        # Without lingering, a close sends a reset instead of an end.
+        sock = writer.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    upstream.then = reset
+    with pytest.raises(exceptions.UpstreamError):
+        await exchange(connection)
+
+
+async def test_a_response_without_an_identity_is_taken_only_at_first(
+    upstream: Upstream, connection: hop_connection.ClientConnection
+) -> None:
+    bare = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+    upstream.script = [bare, bare]
+    first = await exchange(connection)
+    assert_that(first.status, matchers.Equals(503))
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await connection.begin(HEAD, b"", b"two")
+
+
+async def test_the_told_idle_limit_is_kept(
+    upstream: Upstream, connection: hop_connection.ClientConnection
+) -> None:
+    upstream.script = [response(extra=b"Keep-Alive: timeout=7, max=5\r\n")]
+    await exchange(connection)
+    assert_that(connection.keep_alive_ms, matchers.Equals(7_000.0))
+
+
+async def test_a_port_without_listener_is_a_failed_connection() -> None:
+    with pytest.raises(exceptions.UpstreamError) as raised:
+        await hop_connection.connect("127.0.0.1", 9, b"x-id", 500.0)
+    assert_that(raised.value.kind, matchers.Equals(Kind.CONNECT_FAILED))
--- /dev/null
+++ b/tests/hop/test_server.py
@@ -0,0 +1,159 @@
+"""Callers are read strictly, answered in order, and given up when gone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from fakes import handlers
+from lovageyoke.hop import messages
+from lovageyoke.routing import registry_model as model
+
+pytestmark = pytest.mark.anyio
+
+LIMITS = model.CallerLimits(
+    header_bytes=500,
+    body_bytes=100,
+    header_timeout_ms=200.0,
+    idle_timeout_ms=300.0,
+)
+
+
+class Scene:
+    """A listener whose answers a test decides."""
+
+    def __init__(self) -> None:
+        self.handler = handlers.Handler(self.respond, LIMITS)
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.error: Exception | None = None
+        self.listener = handlers.Listener(self.handler)
+
+    async def respond(self, request: messages.Request) -> messages.Response:
+        await self.gate.wait()
+        if self.error is not None:
+            raise self.error
+        return handlers.ok(request.target + b":" + request.body)
+
+    async def open(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.listener.port)
+
+    async def talk(self, data: bytes) -> bytes:
+        reader, writer = await self.open()
+        writer.write(data)
+        async with asyncio.timeout(3.0):
+            answer = await reader.read(-1)
+        writer.close()
+        return answer
+
+
+@pytest.fixture
+async def scene() -> AsyncIterator[Scene]:
+    made = Scene()
+    async with made.listener:
+        yield made
+
+
+def get(target: bytes = b"/a", extra: bytes = b"") -> bytes:
+    return b"GET %b HTTP/1.1\r\nHost: h\r\n%b\r\n" % (target, extra)
+
+
+CLOSE = b"Connection: close\r\n"
+
+
+async def test_a_request_is_answered(scene: Scene) -> None:
+    answer = await scene.talk(get(extra=CLOSE))
+    assert_that(answer, matchers.StartsWith(b"HTTP/1.1 200 OK\r\n"))
+    assert_that(answer, matchers.EndsWith(b"\r\n\r\n/a:"))
+
+
+async def test_pipelined_requests_are_answered_in_order(scene: Scene) -> None:
+    answer = await scene.talk(get(b"/a") + get(b"/b") + get(b"/c", CLOSE))
+    places = [answer.index(each) for each in (b"/a:", b"/b:", b"/c:")]
+    assert_that(places, matchers.Equals(sorted(places)))
+
+
+async def test_a_chunked_body_is_whole(scene: Scene) -> None:
+    answer = await scene.talk(
+        b"POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        b"Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    assert_that(answer, matchers.EndsWith(b"/p:abcde"))
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (get(extra=b"X: " + b"y" * 600 + b"\r\n"), b"431"),
+        (
+            b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n"
+            + b"z" * 200,
+            b"413",
+        ),
+        (
+            b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (b"GET /slow HTTP/1.1\r\nHost:", b"408"),
+    ],
+)
+async def test_what_can_t_be_taken_is_refused(
+    scene: Scene, data: bytes, status: bytes
+) -> None:
+    answer = await scene.talk(data)
+    assert_that(answer, matchers.StartsWith(b"HTTP/1.1 " + status))
+    assert_that(scene.handler.requests, matchers.Equals([]))
+
+
+async def test_an_idle_connection_is_closed(scene: Scene) -> None:
+    answer = await scene.talk(get())
+    assert_that(answer, matchers.EndsWith(b"/a:"))
+
+
+async def test_a_request_whose_caller_has_left_is_given_up(
+    scene: Scene,
+) -> None:
+    scene.gate.clear()
+    _, writer = await scene.open()
+    writer.write(get())
+    await asyncio.sleep(0.05)
+    writer.close()
+    await asyncio.sleep(0.05)
+    assert_that(scene.handler.cancelled, matchers.Equals(1))
+
+
+async def test_a_request_that_may_have_run_goes_on(scene: Scene) -> None:
+    scene.gate.clear()
+    _, writer = await scene.open()
+    writer.write(b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+    await asyncio.sleep(0.05)
+    writer.close()
+    await asyncio.sleep(0.05)
+    scene.gate.set()
+    await asyncio.sleep(0.05)
+    assert_that(scene.handler.cancelled, matchers.Equals(0))
+
+
+async def test_a_fault_of_the_handler_is_answered_and_noted(
+    scene: Scene,
+) -> None:
+    scene.error = KeyError("x")
+    answer = await scene.talk(get(extra=CLOSE))
+    assert_that(answer, matchers.StartsWith(b"HTTP/1.1 500"))
+    assert_that(scene.handler.failures, matchers.HasLength(1))
+
+
+async def test_a_leaving_process_ends_connections_after_their_answer(
+    scene: Scene,
+) -> None:
+    scene.handler.is_leaving = True
+    answer = await scene.talk(get())
+    assert_that(answer.lower(), matchers.Contains(b"connection: close"))
--- /dev/null
+++ b/tests/limits/test_waiting_room.py
@@ -0,0 +1,98 @@
+"""Requests wait in order, late ones behind those in time."""
+
+from __future__ import annotations
+
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from lovageyoke.limits import waiting_room
+from lovageyoke.routing import load_view
+
+
+class Scene:
+    """Requests that wait for a number of free slots."""
+
+    def __init__(self) -> None:
+        self.room = waiting_room.WaitingRoom()
+        self.free = 0
+        self.started: list[str] = []
+        self.refused: list[str] = []
+
+    def enter(
+        self,
+        name: str,
+        priority: int = 1,
+        target_ms: float = 200.0,
+        give_up_ms: float = 600.0,
+    ) -> waiting_room.Waiter:
+        def start(freed: load_view.UpstreamView | None) -> bool:
+            del freed
+            if self.free == 0:
+                return False
+            self.free -= 1
+            self.started.append(name)
+            return True
+
+        waiter = waiting_room.Waiter(
+            priority,
+            0.0,
+            target_ms,
+            give_up_ms,
+            start,
+            lambda: self.refused.append(name),
+        )
+        self.room.enter(waiter)
+        return waiter
+
+    def admit(self, now_ms: float, free: int) -> None:
+        self.free = free
+        self.room.admit(now_ms)
+
+
+def test_the_most_urgent_goes_first() -> None:
+    scene = Scene()
+    scene.enter("later", target_ms=300.0)
+    scene.enter("sooner", target_ms=200.0)
+    scene.enter("rank", priority=0, target_ms=400.0)
+    scene.admit(0.0, free=2)
+    assert_that(scene.started, matchers.Equals(["rank", "sooner"]))
+
+
+def test_late_requests_wait_behind_those_in_time() -> None:
+    scene = Scene()
+    scene.enter("late", priority=0, target_ms=50.0)
+    scene.enter("in-time", target_ms=200.0)
+    scene.admit(100.0, free=1)
+    assert_that(scene.started, matchers.Equals(["in-time"]))
+    scene.admit(110.0, free=1)
+    assert_that(scene.started, matchers.Equals(["in-time", "late"]))
+
+
+def test_a_request_that_waited_too_long_is_refused() -> None:
+    scene = Scene()
+    scene.enter("old", give_up_ms=100.0)
+    scene.admit(100.0, free=1)
+    assert_that(scene.refused, matchers.Equals(["old"]))
+    assert_that(scene.started, matchers.Equals([]))
+
+
+def test_a_caller_that_has_left_is_forgotten() -> None:
+    scene = Scene()
+    waiter = scene.enter("gone")
+    scene.room.leave(waiter)
+    scene.room.leave(waiter)
+    scene.admit(0.0, free=1)
+    assert_that(scene.started, matchers.Equals([]))
+
+
+def test_a_turn_that_can_t_come_in_time_is_refused_at_once() -> None:
+    scene = Scene()
+    assert_that(scene.room.admits(1, 1.0), matchers.Equals(True))
+    for index in range(40):
+        scene.enter(str(index))
+    for step in range(1, 11):
+        scene.admit(step * 50.0, free=1)
+    wait_ms = scene.room.expected_wait_ms(1)
+    assert_that(wait_ms, matchers.GreaterThan(600.0))
+    assert_that(scene.room.admits(1, 600.0), matchers.Equals(False))
+    assert_that(scene.room.admits(0, 600.0), matchers.Equals(True))
--- /dev/null
+++ b/tests/platform/test_entries.py
@@ -0,0 +1,148 @@
+"""What upstreams and operators write is decoded, or refused whole."""
+
+from __future__ import annotations
+
+import json
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from lovageyoke.errors import exceptions
+from lovageyoke.platform import entries
+from lovageyoke.routing import registry_model as model
+
+ENTRY = {
+    "service": "maps",
+    "address": "10.128.0.9:8080",
+    "zone": "east-a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining": "1500ms",
+    "sequence": 4,
+    "born": 1_700_000_000_123,
+}
+
+CONFIGURATION = {
+    "version": "r7",
+    "limits": {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 1_000,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15s",
+    },
+    "listeners": [
+        {
+            "host": "Jepu9.example",
+            "rule_set": [
+                {
+                    "name": "a",
+                    "kind": "download",
+                    "target_latency": "400ms",
+                    "priority": 2,
+                    "match": {"prefix": "/a/"},
+                    "action": {
+                        "traffic_split": [
+                            {"service": "maps", "weight": 90},
+                            {"service": "scans", "weight": 10},
+                        ],
+                        "timeout": "1.2s",
+                        "max_attempts": 2,
+                    },
+                },
+                {
+                    "name": "b",
+                    "kind": "unsafe",
+                    "match": {"prefix": "/a/b/"},
+                    "action": {
+                        "service": "maps",
+                        "timeout": "1500ms",
+                        "max_attempts": 1,
+                    },
+                },
+            ],
+        }
+    ],
+    "clusters": [
+        {"name": "maps", "health_check": "/h", "max_connections": 240}
+    ],
+}
+
+
+def decode(**changes: object) -> model.Upstream:
+    value = json.dumps({**ENTRY, **changes}).encode()
+    return entries.decode_upstream("servers/i-1", value)
+
+
+def test_an_entry_names_an_upstream() -> None:
+    upstream = decode()
+    assert_that(upstream.key, matchers.Equals(("i-1", 1_700_000_000_123)))
+    assert_that(
+        (upstream.host, upstream.port), matchers.Equals(("10.128.0.9", 8080))
+    )
+    assert_that(upstream.cold_ms, matchers.Equals(1_500.0))
+    assert_that(upstream.draining, matchers.Equals(False))
+    assert_that(decode(state="draining").draining, matchers.Equals(True))
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "unwell"},
+        {"slots": "6"},
+        {"slots": True},
+        {"slots": 0},
+        {"address": "10.128.0.9"},
+        {"address": 7},
+        {"service": ""},
+        {"zone": None},
+        {"cold_remaining": "soon"},
+        {"born": 1.5},
+    ],
+)
+def test_a_malformed_entry_names_none(changes: dict[str, object]) -> None:
+    with pytest.raises(exceptions.DecodeError):
+        decode(**changes)
+
+
+@hypothesis.given(st.binary(max_size=200))
+def test_any_bytes_are_an_entry_or_an_error(value: bytes) -> None:
+    try:
+        entries.decode_upstream("servers/i-1", value)
+    except exceptions.DecodeError:
+        return
+
+
+def test_a_configuration_is_decoded() -> None:
+    value = json.dumps(CONFIGURATION).encode()
+    configuration = entries.decode_configuration(value)
+    first, second = configuration.routes
+    assert_that(configuration.version, matchers.Equals(7))
+    assert_that(first.host, matchers.Equals("jepu9.example"))
+    assert_that(first.idempotent, matchers.Equals(True))
+    assert_that(first.timeout_ms, matchers.Equals(1_200.0))
+    assert_that(
+        [each.weight for each in first.targets], matchers.Equals([90.0, 10.0])
+    )
+    assert_that(second.idempotent, matchers.Equals(False))
+    assert_that(configuration.limits.idle_timeout_ms, matchers.Equals(15_000.0))
+    assert_that(
+        configuration.services["maps"].health_path, matchers.Equals("/h")
+    )
+
+
+def test_an_unknown_kind_is_never_repeated() -> None:
+    raw = json.loads(json.dumps(CONFIGURATION))
+    raw["listeners"][0]["rule_set"][0]["kind"] = "new"
+    configuration = entries.decode_configuration(json.dumps(raw).encode())
+    assert_that(configuration.routes[0].idempotent, matchers.Equals(False))
+
+
+@pytest.mark.parametrize("missing", ["version", "listeners", "clusters"])
+def test_a_configuration_that_lacks_a_part_is_refused(missing: str) -> None:
+    raw = {key: each for key, each in CONFIGURATION.items() if key != missing}
+    with pytest.raises(exceptions.DecodeError):
+        entries.decode_configuration(json.dumps(raw).encode())
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,63 @@
+"""The settings file is read, and what is missing is named."""
+
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from lovageyoke.errors import exceptions
+from lovageyoke.platform import settings
+
+FILE = """
+node = "front-a-1"
+zone = "east-a"
+region = "east"
+ip = "10.1.0.34"
+internal_ports = [7540, 7555]
+bounds = ["grace=6s", "budget_ratio=0.2", "ttl_max=5s", "new_bound=true"]
+unknown = 1
+[listen]
+front = "10.1.0.34:8548"
+ready = "10.1.0.34:8542"
+directory = "10.1.0.34:8546"
+[platform]
+address = "10.200.1.7:8541"
+min_ttl = "1000ms"
+"""
+
+
+@pytest.fixture
+def file(tmp_path: pathlib.Path) -> pathlib.Path:
+    path = tmp_path / "boot.toml"
+    path.write_text(FILE, encoding="utf-8")
+    return path
+
+
+def test_a_file_is_read(file: pathlib.Path) -> None:
+    read = settings.load(file)
+    assert_that(read.node_id, matchers.Equals("front-a-1"))
+    assert_that(str(read.front), matchers.Equals("10.1.0.34:8548"))
+    assert_that(read.peers.port, matchers.Equals(7540))
+    assert_that(read.bounds.grace_ms, matchers.Equals(6_000.0))
+    assert_that(read.bounds.lifetime_most_ms, matchers.Equals(5_000.0))
+
+
+@pytest.mark.parametrize(
+    "removed",
+    ['node = "front-a-1"', "internal_ports = [7540, 7555]", "[listen]"],
+)
+def test_a_file_that_lacks_a_part_is_refused(
+    file: pathlib.Path, removed: str
+) -> None:
+    file.write_text(FILE.replace(removed, ""), encoding="utf-8")
+    with pytest.raises(exceptions.SettingsError):
+        settings.load(file)
+
+
+def test_a_file_that_is_not_toml_is_refused(file: pathlib.Path) -> None:
+    file.write_text("node = ", encoding="utf-8")
+    with pytest.raises(exceptions.SettingsError):
+        settings.load(file)
--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,125 @@
+"""Each answer of the store has its typed outcome."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import pytest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from fakes import handlers
+from fakes import platform_store
+from lovageyoke.errors import exceptions
+from lovageyoke.platform import store_client
+from lovageyoke.store import revisions
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def store() -> platform_store.PlatformStore:
+    return platform_store.PlatformStore()
+
+
+@pytest.fixture
+async def client(
+    store: platform_store.PlatformStore,
+) -> AsyncIterator[store_client.StoreClient]:
+    async with handlers.Listener(handlers.Handler(store.respond)) as listener:
+        client = store_client.StoreClient("127.0.0.1", listener.port)
+        yield client
+        client.close()
+
+
+async def test_an_item_is_read(
+    store: platform_store.PlatformStore, client: store_client.StoreClient
+) -> None:
+    store.put("a", b"\x00value")
+    item, revision = await client.get("a")
+    assert_that(item, matchers.Equals(revisions.Item("a", b"\x00value", 2)))
+    assert_that(revision, matchers.Equals(2))
+    missing, _ = await client.get("b")
+    assert_that(missing, matchers.Is(None))
+
+
+async def test_a_listing_is_read_page_by_page(
+    store: platform_store.PlatformStore, client: store_client.StoreClient
+) -> None:
+    for index in range(120):
+        store.put(f"servers/{index:03}", b"x")
+    store.put("other", b"x")
+    listing = await client.list_items("servers/")
+    assert_that(listing.items, matchers.HasLength(120))
+    assert_that(client.calls["list"], matchers.Equals(3))
+
+
+async def test_a_watch_tells_writes_and_deletions(
+    store: platform_store.PlatformStore, client: store_client.StoreClient
+) -> None:
+    store.put("a", b"1")
+    store.remove("a")
+    changes = await client.watch("", 1, 50.0)
+    assert_that(
+        changes.events,
+        matchers.Equals(
+            (revisions.Change("a", 2, b"1"), revisions.Change("a", 3, None))
+        ),
+    )
+    quiet = await client.watch("", changes.revision, 20.0)
+    assert_that(quiet.events, matchers.Equals(()))
+
+
+async def test_history_that_is_gone(
+    store: platform_store.PlatformStore, client: store_client.StoreClient
+) -> None:
+    store.compacted = 10
+    with pytest.raises(exceptions.HistoryGoneError):
+        await client.watch("", 1, 50.0)
+
+
+async def test_leases(
+    store: platform_store.PlatformStore, client: store_client.StoreClient
+) -> None:
+    lease_id = await client.grant_lease(3_000.0)
+    await client.commit([revisions.Write("me", b"1", lease_id)])
+    await client.renew_lease(lease_id)
+    store.leases.clear()
+    with pytest.raises(exceptions.LeaseGoneError):
+        await client.renew_lease(lease_id)
+    with pytest.raises(exceptions.LeaseGoneError):
+        await client.commit([revisions.Write("me", b"1", lease_id)])
+
+
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [
+        (503, exceptions.PlatformUnavailableError),
+        (429, exceptions.RateLimitedError),
+        (412, exceptions.RevisionConflictError),
+    ],
+)
+async def test_refusals(
+    store: platform_store.PlatformStore,
+    client: store_client.StoreClient,
+    status: int,
+    error: type[Exception],
+) -> None:
+    store.status = status
+    with pytest.raises(error):
+        await client.get("a")
+
+
+async def test_silence_is_an_unknown_outcome_and_ends_the_connection(
+    store: platform_store.PlatformStore, client: store_client.StoreClient
+) -> None:
+    store.silent = True
+    with pytest.raises(exceptions.PlatformOutcomeUnknownError):
+        await client.call("get", "GET", "/kv-key?key=a", timeout_ms=20.0)
+    assert_that(client.idle, matchers.Equals([]))
+
+
+async def test_no_store_is_unavailable() -> None:
+    client = store_client.StoreClient("127.0.0.1", 9)
+    with pytest.raises(exceptions.PlatformUnavailableError):
+        await client.get("a")
--- /dev/null
+++ b/tests/routing/test_load_view.py
@@ -0,0 +1,87 @@
+"""Beliefs about upstreams age, and never go back to older reports."""
+
+from __future__ import annotations
+
+import pytest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from lovageyoke.routing import load_view
+from lovageyoke.routing import registry_model as model
+
+
+def upstream(
+    upstream_id: str = "u1", born_ms: int = 1, **changes: object
+) -> model.Upstream:
+    fields: dict[str, object] = {
+        "service": "maps",
+        "host": "10.0.0.1",
+        "port": 80,
+        "failure_domain": "a",
+        "slots": 6,
+    }
+    fields.update(changes)
+    return model.Upstream(upstream_id, born_ms, **fields)  # type: ignore[arg-type]
+
+
+@pytest.fixture
+def view() -> load_view.UpstreamView:
+    return load_view.UpstreamView(upstream(), added_ms=0.0)
+
+
+def test_own_requests_are_added_to_a_report(
+    view: load_view.UpstreamView,
+) -> None:
+    view.own = 1
+    view.take_report(load_view.LoadReport(3, 1, 6, 1.0), 10.0)
+    view.own = 3
+    assert_that(view.load(), matchers.Equals(6))
+    view.own = 0
+    assert_that(view.load(), matchers.Equals(3))
+
+
+def test_an_older_report_is_not_taken(view: load_view.UpstreamView) -> None:
+    view.take_report(load_view.LoadReport(3, 0, 6, 1.0), 10.0)
+    taken = view.take_report(load_view.LoadReport(0, 0, 6, 7.0), 9.0)
+    assert_that(taken, matchers.Equals(False))
+    assert_that(view.load(), matchers.Equals(3))
+
+
+def test_a_pace_ages_to_the_usual_one(view: load_view.UpstreamView) -> None:
+    view.take_report(load_view.LoadReport(0, 0, 6, 7.0), 0.0)
+    assert_that(view.pace(0.0, 2.0), matchers.Equals(7.0))
+    assert_that(view.pace(400.0, 2.0), matchers.LessThan(4.0))
+    assert_that(view.pace(10_000.0, 2.0), matchers.LessThan(2.01))
+
+
+def test_a_cold_upstream_is_slow_for_a_while() -> None:
+    view = load_view.UpstreamView(upstream(cold_ms=1_000.0), added_ms=0.0)
+    assert_that(view.pace(500.0, 1.0), matchers.Equals(load_view.COLD_PACE))
+    assert_that(view.pace(1_500.0, 1.0), matchers.Equals(1.0))
+
+
+def test_failures_fade(view: load_view.UpstreamView) -> None:
+    for _ in range(5):
+        view.record_outcome(True, 0.0)
+    at_once = view.aged_failure_rate(0.0)
+    assert_that(at_once, matchers.GreaterThan(0.8))
+    later = view.aged_failure_rate(load_view.FAILURE_HALF_LIFE_MS)
+    assert_that(later, matchers.Equals(at_once / 2))
+
+
+def test_a_restart_under_the_same_id_starts_with_no_beliefs() -> None:
+    loads = load_view.LoadView()
+    loads.replace_upstreams([upstream()], 0.0)
+    loads.by_id["u1"].own = 4
+    loads.replace_upstreams([upstream(born_ms=2)], 1.0)
+    assert_that(loads.by_id["u1"].own, matchers.Equals(0))
+    assert_that(loads.of_service("maps"), matchers.HasLength(1))
+
+
+def test_an_upstream_that_drains_keeps_its_beliefs() -> None:
+    loads = load_view.LoadView()
+    loads.replace_upstreams([upstream()], 0.0)
+    loads.by_id["u1"].own = 4
+    loads.replace_upstreams([upstream(draining=True)], 1.0)
+    assert_that(loads.by_id["u1"].own, matchers.Equals(4))
+    assert_that(loads.by_id["u1"].upstream.draining, matchers.Equals(True))
