Test the whole process, the follower, members, messages and events

Requests that wait are told in heartbeats, so that room is shared among those that want it, and Retry-After follows the expected wait.

--- a/src/lovageyoke/fleet/members.py
+++ b/src/lovageyoke/fleet/members.py
@@ -156,6 +156,16 @@
             chosen.append(domain[turn % len(domain)])
         return chosen
 
+    def waiting(self, service: str, now_ms: float) -> int:
+        """Returns how many requests wait for a service in other processes."""
+        return sum(
+            count
+            for member in self.live(now_ms)
+            if member.heartbeat is not None
+            for name, count in member.heartbeat.waiting
+            if name == service
+        )
+
     def fleet_size(self, now_ms: float) -> int:
         """Returns how many processes may be sending requests now."""
         recent = sum(
--- a/src/lovageyoke/fleet/messages.py
+++ b/src/lovageyoke/fleet/messages.py
@@ -20,9 +20,9 @@
 _INTRODUCTION = 2
 _CONFIGURATION = 3
 # All messages have as many fields, so that their datagrams begin alike.
-_PADDING = [None] * 11
-_RELAYED = cbor2.dumps([FORMAT, True, *[None] * 13])[:3]
-_NOT_RELAYED = cbor2.dumps([FORMAT, False, *[None] * 13])[:3]
+_PADDING = [None] * 12
+_RELAYED = cbor2.dumps([FORMAT, True, *[None] * 14])[:3]
+_NOT_RELAYED = cbor2.dumps([FORMAT, False, *[None] * 14])[:3]
 
 
 @attrs.frozen
@@ -100,6 +100,7 @@
         fresh_age_ms: Time since the store confirmed ``revision``.
         changes: The latest changes of entries.
         reports: The latest loads of upstreams.
+        waiting: Requests that wait for room, by service.
     """
 
     peer: Peer
@@ -114,6 +115,7 @@
     fresh_age_ms: int
     changes: tuple[EntryChange, ...] = ()
     reports: tuple[Report, ...] = ()
+    waiting: tuple[tuple[str, int], ...] = ()
 
 
 @attrs.frozen
@@ -183,6 +185,7 @@
         message.fresh_age_ms,
         [[each.key, each.revision, each.value] for each in message.changes],
         [list(attrs.astuple(each)) for each in message.reports],
+        [list(each) for each in message.waiting],
     ]
 
 
@@ -229,6 +232,7 @@
         fresh_age_ms=_age(raw[11]),
         changes=tuple(_change(each) for each in raw[12]),
         reports=tuple(_report(each) for each in raw[13]),
+        waiting=tuple((str(name), int(count)) for name, count in raw[14]),
     )
 
 
--- a/src/lovageyoke/node/assembly.py
+++ b/src/lovageyoke/node/assembly.py
@@ -41,8 +41,15 @@
 )
 
 
-def build(settings: node_settings.NodeSettings) -> process.NodeProcess:
-    """Returns the process for its settings."""
+def build(
+    settings: node_settings.NodeSettings, log_descriptor: int = events.STDOUT
+) -> process.NodeProcess:
+    """Returns the process for its settings.
+
+    Args:
+        settings: The settings.
+        log_descriptor: Where the log goes; it is made non-blocking.
+    """
     clock = system.SystemClock()
     own = fleet_messages.Peer(
         settings.node_id,
@@ -55,7 +62,7 @@
         settings=settings,
         clock=clock,
         rng=random.Random(os.urandom(16)),  # noqa: S311
-        log=events.EventLog(clock, settings.node_id),
+        log=events.EventLog(clock, settings.node_id, log_descriptor),
         client=hop_attempt.UpstreamClient(
             headers.NAMES, hop_pool.ConnectionPool(), clock
         ),
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -16,8 +16,8 @@
 
 MAX_TRACE = 600  # Characters of a traceback in the log.
 DEFAULT_WAIT_MS = 60_000.0  # For callers that tell no deadline.
-RETRY_LEAST_MS = 40.0
-RETRY_MOST_MS = 250.0  # Paces change within this time.
+RETRY_LEAST_MS = 80.0
+RETRY_MOST_MS = 1_000.0
 
 Kind = kinds.ErrorKind
 
@@ -170,7 +170,9 @@
         race: node_race.Race | None,
     ) -> None:
         """Answers with an error of this process."""
-        response = hop_server.error_response(kind, self.retry_after_ms(kind))
+        response = hop_server.error_response(
+            kind, self.retry_after_ms(kind, race)
+        )
         identity = request.header(self.node.client.names.request_id)
         if identity is not None:
             response.headers.append(
@@ -191,11 +193,23 @@
             )
         caller.answer(response)
 
-    def retry_after_ms(self, kind: kinds.ErrorKind) -> float | None:
-        """Returns when a refused caller should come back."""
+    def retry_after_ms(
+        self, kind: kinds.ErrorKind, race: node_race.Race | None
+    ) -> float | None:
+        """Returns when a refused caller should come back.
+
+        That is when those that wait now should have had their turn; it is
+        spread, so that callers don't come back together.
+        """
         if table.answer_for(kind).retry_after_s is None:
             return None
-        return self.node.rng.uniform(RETRY_LEAST_MS, RETRY_MOST_MS)
+        wait_ms = RETRY_LEAST_MS
+        if race is not None:
+            room = self.node.waiting_room(race.service)
+            if room.waiters:
+                wait_ms = room.expected_wait_ms(race.route.priority)
+        wait_ms = min(max(wait_ms, RETRY_LEAST_MS), RETRY_MOST_MS)
+        return wait_ms * self.node.rng.uniform(0.6, 1.4)
 
     def count_answer(self, status: int) -> None:
         """Counts an answer."""
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -322,6 +322,7 @@
             fresh_age_ms=fresh_age_ms,
             changes=changes,
             reports=node.reports_to_send(now_ms),
+            waiting=node.waiting_counts(),
         )
 
     def hear(
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -260,18 +260,19 @@
 
         Args:
             choices: The upstreams with room.
-            waits: Whether the request has waited; then those of other
-                processes wait too.
+            waits: Whether the request has waited.
         """
         node = self.node
         now_ms = node.clock.now_ms()
         rooms = sum(placement.room(each.view, self.work) for each in choices)
         processes = len(node.members.working_ids(now_ms))
+        waiting = node.members.waiting(self.service, now_ms)
+        waiting += len(node.waiting_room(self.service).waiters)
         if waits:
-            rivals = processes * NEWS_AGE_MS / node_state.ADMIT_MS
+            rivals = waiting * NEWS_AGE_MS / node_state.ADMIT_MS
         else:
             own_rate = node.budget(self.service).requests_per_ms(now_ms)
-            rivals = processes * own_rate * NEWS_AGE_MS
+            rivals = processes * own_rate * NEWS_AGE_MS + waiting
         return node.rng.random() * rivals < rooms
 
     def choose_other(self) -> placement.Choice | None:
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -134,6 +134,14 @@
             self.rooms[service] = room
         return room
 
+    def waiting_counts(self) -> tuple[tuple[str, int], ...]:
+        """Returns how many requests wait here, by service."""
+        return tuple(
+            (service, len(room.waiters))
+            for service, room in self.rooms.items()
+            if room.waiters
+        )
+
     def slot_freed(self, service: str, view: load_view.UpstreamView) -> None:
         """Lets the next request take the slot of one that has ended."""
         room = self.rooms.get(service)
--- /dev/null
+++ b/tests/fakes/platform_upstream.py
@@ -0,0 +1,89 @@
+"""Stand-in of an upstream, as the platform's pages describe it."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+
+from fakes import handlers
+from lovageyoke.hop import messages
+
+
+class PlatformUpstream:
+    """Answers requests and health checks as a test scripts them.
+
+    Attributes:
+        upstream_id: Names this start.
+        behaviour: What it does with the next requests; afterwards it serves.
+        arrivals: How often each request came, by its id.
+        ran: How often each request was run.
+        last: The last request.
+    """
+
+    def __init__(self, upstream_id: str) -> None:
+        self.upstream_id = upstream_id
+        self.behaviour: list[str] = []
+        self.always: str | None = None
+        self.arrivals: collections.Counter[str] = collections.Counter()
+        self.ran: collections.Counter[str] = collections.Counter()
+        self.last: messages.Request | None = None
+        self.handler = handlers.Handler(self.respond)
+        self.listener = handlers.Listener(self.handler)
+
+    def entry(self, state: str = "ready") -> bytes:
+        return json.dumps(
+            {
+                "service": "maps",
+                "address": f"127.0.0.1:{self.listener.port}",
+                "zone": "east-a",
+                "version": "v1",
+                "slots": 6,
+                "state": state,
+                "cold_remaining": "0ms",
+                "sequence": 1,
+            }
+        ).encode()
+
+    async def respond(
+        self, request: messages.Request
+    ) -> messages.Response | None:
+        if request.path == "/health":
+            return self.answer(200, None)
+        identity = (request.header(b"x-request-id") or b"").decode()
+        self.arrivals[identity] += 1
+        self.last = request
+        expected = request.header(b"x-expected-instance")
+        if expected != self.upstream_id.encode():
+            return self.answer(421, identity)
+        act = self.always or (
+            self.behaviour.pop(0) if self.behaviour else "serve"
+        )
+        if act == "shed":
+            return self.answer(503, identity, (b"x-not-executed", b"1"))
+        self.ran[identity] += 1
+        if act == "lose":
+            return None
+        if act == "fail":
+            return self.answer(500, identity)
+        if act == "hang":
+            await asyncio.sleep(30.0)
+        if act == "slow":
+            await asyncio.sleep(0.2)
+        return self.answer(200, identity)
+
+    def answer(
+        self,
+        status: int,
+        identity: str | None,
+        *headers: tuple[bytes, bytes],
+    ) -> messages.Response:
+        all_headers = [
+            (b"x-instance-id", self.upstream_id.encode()),
+            (b"x-backend-load", b"0,0,6,100"),
+            *headers,
+        ]
+        if identity is not None:
+            all_headers.append((b"x-request-id", identity.encode()))
+            all_headers.append((b"x-response-signature", b"sig"))
+        return messages.Response(status, b"-", all_headers, b"body")
--- /dev/null
+++ b/tests/fakes/revision_store.py
@@ -0,0 +1,84 @@
+"""A store in memory with faults that a test switches on."""
+
+from __future__ import annotations
+
+from lovageyoke.errors import exceptions
+from lovageyoke.store import revisions
+
+
+class RevisionStore(revisions.RevisionStore):
+    """Keeps items and changes; a watch answers at once.
+
+    Attributes:
+        error: Raised by every call if set.
+        history_from: Changes up to this revision are gone.
+        calls: Names of the calls, in order.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, revisions.Item] = {}
+        self.changes: list[revisions.Change] = []
+        self.revision = 1
+        self.error: exceptions.PlatformError | None = None
+        self.history_from = 0
+        self.calls: list[str] = []
+        self.leases: set[int] = set()
+
+    def put(self, key: str, value: bytes) -> None:
+        self.revision += 1
+        self.items[key] = revisions.Item(key, value, self.revision)
+        self.changes.append(revisions.Change(key, self.revision, value))
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        del self.items[key]
+        self.changes.append(revisions.Change(key, self.revision, None))
+
+    def called(self, name: str) -> None:
+        self.calls.append(name)
+        if self.error is not None:
+            raise self.error
+
+    async def get(self, key: str) -> tuple[revisions.Item | None, int]:
+        self.called("get")
+        return self.items.get(key), self.revision
+
+    async def list_items(
+        self, prefix: str, stale: bool = False
+    ) -> revisions.Listing:
+        self.called("stale-list" if stale else "list")
+        items = [
+            each for key, each in self.items.items() if key.startswith(prefix)
+        ]
+        return revisions.Listing(tuple(items), self.revision)
+
+    async def watch(
+        self, prefix: str, after: int, wait_ms: float
+    ) -> revisions.Changes:
+        del wait_ms
+        self.called("watch")
+        if after < self.history_from:
+            raise exceptions.HistoryGoneError("gone")
+        events = tuple(
+            each
+            for each in self.changes
+            if each.revision > after and each.key.startswith(prefix)
+        )
+        return revisions.Changes(events, self.revision)
+
+    async def commit(self, writes: list[revisions.Write]) -> int:
+        self.called("commit")
+        for write in writes:
+            self.put(write.key, write.value)
+        return self.revision
+
+    async def grant_lease(self, ttl_ms: float) -> int:
+        del ttl_ms
+        self.called("grant")
+        self.leases.add(len(self.leases) + 1)
+        return len(self.leases)
+
+    async def renew_lease(self, lease_id: int) -> None:
+        self.called("renew")
+        if lease_id not in self.leases:
+            raise exceptions.LeaseGoneError("ended")
--- /dev/null
+++ b/tests/fleet/conftest.py
@@ -0,0 +1,134 @@
+"""Processes, upstreams and a follower to test with."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import os
+import random
+
+import pytest
+
+from fakes import revision_store
+from lovageyoke.clock import manual
+from lovageyoke.errors import exceptions
+from lovageyoke.fleet import follower as fleet_follower
+from lovageyoke.fleet import members as fleet_members
+from lovageyoke.fleet import messages
+from lovageyoke.observe import events
+from lovageyoke.routing import registry_model as model
+
+PeerOf = Callable[..., messages.Peer]
+HeartbeatOf = Callable[..., messages.Heartbeat]
+
+
+def decode_upstream(key: str, value: bytes) -> model.Upstream:
+    if value == b"bad":
+        raise exceptions.DecodeError("bad entry")
+    name = key.removeprefix("up/")
+    draining = value == b"draining"
+    return model.Upstream(name, 1, "maps", name, 80, "a", 6, draining)
+
+
+def decode_configuration(value: bytes) -> model.Configuration:
+    if not value.isdigit():
+        raise exceptions.DecodeError("no configuration")
+    return model.Configuration(int(value), (), {}, model.CallerLimits())
+
+
+LAYOUT = fleet_follower.Layout(
+    "up/", "config", "", decode_upstream, decode_configuration
+)
+
+
+@pytest.fixture
+def peer_of() -> PeerOf:
+    def make(name: str, domain: str = "a") -> messages.Peer:
+        return messages.Peer(name, "10.0.0.1", 7540, f"{name}:80", domain)
+
+    return make
+
+
+@pytest.fixture
+def heartbeat_of(peer_of: PeerOf) -> HeartbeatOf:
+    def make(
+        name: str = "n2", domain: str = "a", **changes: object
+    ) -> messages.Heartbeat:
+        fields: dict[str, object] = {
+            "started_ms": 1,
+            "ready": True,
+            "leaving": False,
+            "configuration_version": 0,
+            "store_ok": True,
+            "trouble_age_ms": 600_000,
+            "revision": 0,
+            "since_revision": 0,
+            "fresh_age_ms": 0,
+        }
+        fields.update(changes)
+        return messages.Heartbeat(peer_of(name, domain), **fields)  # type: ignore[arg-type]
+
+    return make
+
+
+@pytest.fixture
+def members(peer_of: PeerOf) -> fleet_members.Members:
+    return fleet_members.Members(peer_of("n1"))
+
+
+@pytest.fixture
+def store() -> revision_store.RevisionStore:
+    return revision_store.RevisionStore()
+
+
+@pytest.fixture
+def log(clock: manual.ManualClock) -> Iterator[events.EventLog]:
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    yield events.EventLog(clock, "n1", descriptor)
+    os.close(descriptor)
+
+
+class Followed:
+    """A follower and what it passed on."""
+
+    def __init__(
+        self,
+        store: revision_store.RevisionStore,
+        members: fleet_members.Members,
+        clock: manual.ManualClock,
+        log: events.EventLog,
+    ) -> None:
+        self.versions: list[int] = []
+        self.upstreams: list[str] = []
+        self.draining: list[str] = []
+        self.sent: list[messages.Message] = []
+        self.follower = fleet_follower.Follower(
+            store=store,
+            layout=LAYOUT,
+            members=members,
+            clock=clock,
+            log=log,
+            rng=random.Random(1),  # noqa: S311
+            on_configuration=lambda each: self.versions.append(each.version),
+            on_upstreams=self.take,
+            broadcast=self.sent.append,
+        )
+
+    def take(self, upstreams: list[model.Upstream]) -> None:
+        self.upstreams = sorted(each.upstream_id for each in upstreams)
+        self.draining = [
+            each.upstream_id for each in upstreams if each.draining
+        ]
+
+
+@pytest.fixture
+def followed(
+    store: revision_store.RevisionStore,
+    members: fleet_members.Members,
+    clock: manual.ManualClock,
+    log: events.EventLog,
+) -> Followed:
+    store.put("config", b"3")
+    store.put("up/u1", b"x")
+    store.put("up/u2", b"x")
+    return Followed(store, members, clock, log)
--- /dev/null
+++ b/tests/fleet/test_registry.py
@@ -0,0 +1,100 @@
+"""Entries never go back, and survive the store's troubles."""
+
+from __future__ import annotations
+
+import pytest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from lovageyoke.errors import exceptions
+from lovageyoke.fleet import registry as fleet_registry
+from lovageyoke.routing import registry_model as model
+from lovageyoke.store import revisions
+
+RETURN_MS = fleet_registry.RETURN_MS
+
+
+def decode(key: str, value: bytes) -> model.Upstream:
+    if value == b"bad":
+        raise exceptions.DecodeError("bad entry")
+    host = value.decode()
+    return model.Upstream(key, 1, "maps", host, 80, "a", 6)
+
+
+@pytest.fixture
+def registry() -> fleet_registry.Registry:
+    made = fleet_registry.Registry(decode)
+    made.put("u1", b"h1", 5)
+    return made
+
+
+def ids(registry: fleet_registry.Registry) -> list[str]:
+    return sorted(each.upstream_id for each in registry.upstreams())
+
+
+def test_an_older_change_is_not_taken(
+    registry: fleet_registry.Registry,
+) -> None:
+    assert_that(registry.remove("u1", 4, 0.0), matchers.Equals(False))
+    assert_that(registry.put("u1", b"bad", 5), matchers.Equals(False))
+    assert_that(ids(registry), matchers.Equals(["u1"]))
+
+
+def test_a_deletion_is_not_undone_by_an_older_write(
+    registry: fleet_registry.Registry,
+) -> None:
+    assert_that(registry.remove("u1", 7, 0.0), matchers.Equals(True))
+    assert_that(registry.put("u1", b"h1", 6), matchers.Equals(False))
+    assert_that(ids(registry), matchers.Equals([]))
+
+
+def test_an_entry_that_can_t_be_read_names_no_upstream(
+    registry: fleet_registry.Registry,
+) -> None:
+    registry.put("u2", b"bad", 6)
+    assert_that(registry.rejected, matchers.Equals(1))
+    assert_that(ids(registry), matchers.Equals(["u1"]))
+
+
+def test_an_entry_that_vanishes_in_trouble_is_kept_until_it_may_be_back(
+    registry: fleet_registry.Registry,
+) -> None:
+    registry.note_trouble(1_000.0)
+    registry.remove("u1", 7, 1_100.0)
+    assert_that(ids(registry), matchers.Equals(["u1"]))
+    registry.settle(1_000.0 + RETURN_MS - 1.0)
+    assert_that(ids(registry), matchers.Equals(["u1"]))
+    assert_that(registry.settle(1_000.0 + RETURN_MS), matchers.Equals(True))
+    assert_that(ids(registry), matchers.Equals([]))
+
+
+def test_an_upstream_that_registers_again_stays(
+    registry: fleet_registry.Registry,
+) -> None:
+    registry.note_trouble(1_000.0)
+    registry.remove("u1", 7, 1_100.0)
+    registry.put("u1", b"h1", 8)
+    registry.settle(1_000.0 + RETURN_MS)
+    assert_that(ids(registry), matchers.Equals(["u1"]))
+
+
+def test_a_listing_removes_what_it_lacks(
+    registry: fleet_registry.Registry,
+) -> None:
+    listing = revisions.Listing((revisions.Item("u2", b"h2", 6),), 9)
+    assert_that(registry.replace(listing, 0.0), matchers.Equals(True))
+    assert_that(ids(registry), matchers.Equals(["u2"]))
+
+
+def test_a_listing_does_not_remove_what_is_newer_than_it(
+    registry: fleet_registry.Registry,
+) -> None:
+    registry.replace(revisions.Listing((), 4), 0.0)
+    assert_that(ids(registry), matchers.Equals(["u1"]))
+
+
+def test_the_newest_start_has_an_address(
+    registry: fleet_registry.Registry,
+) -> None:
+    registry.put("u9", b"h1", 6)
+    assert_that(ids(registry), matchers.Equals(["u9"]))
--- /dev/null
+++ b/tests/node/test_process.py
@@ -0,0 +1,318 @@
+"""The whole process between callers, upstreams and the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Iterator
+import json
+import os
+import signal
+import socket
+
+import httpx
+import pytest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from fakes import handlers
+from fakes import platform_store
+from fakes import platform_upstream
+from lovageyoke.node import assembly
+from lovageyoke.node import settings as node_settings
+
+pytestmark = pytest.mark.anyio
+
+ROUTES = [("safe", "/safe/"), ("unsafe", "/unsafe/"), ("download", "/load/")]
+
+
+def configuration(version: int = 3, timeout: str = "2s") -> bytes:
+    rules = [
+        {
+            "name": kind,
+            "kind": kind,
+            "target_latency": "300ms",
+            "priority": 1,
+            "match": {"prefix": prefix},
+            "action": {
+                "service": "maps",
+                "timeout": timeout,
+                "max_attempts": 2,
+            },
+        }
+        for kind, prefix in ROUTES
+    ]
+    return json.dumps(
+        {
+            "version": f"r{version}",
+            "listeners": [{"host": "h.example", "rule_set": rules}],
+            "clusters": [{"name": "maps", "health_check": "/health"}],
+        }
+    ).encode()
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Scene:
+    """A process, its store and two upstreams."""
+
+    def __init__(self) -> None:
+        self.store = platform_store.PlatformStore()
+        self.store_listener = handlers.Listener(
+            handlers.Handler(self.store.respond)
+        )
+        self.upstreams = [
+            platform_upstream.PlatformUpstream(f"i-{index}")
+            for index in range(2)
+        ]
+        self.front, self.directory, self.ready, self.peers = free_ports(4)
+
+    def settings(self) -> node_settings.NodeSettings:
+        address = node_settings.Address
+        return node_settings.NodeSettings(
+            node_id="n1",
+            failure_domain="east-a",
+            region="east",
+            front=address("127.0.0.1", self.front),
+            readiness=address("127.0.0.1", self.ready),
+            directory=address("127.0.0.1", self.directory),
+            peers=address("127.0.0.1", self.peers),
+            store=address("127.0.0.1", self.store_listener.port),
+            min_lease_ms=1_000.0,
+            bounds=node_settings.Bounds(grace_ms=2_000.0),
+        )
+
+    def register(self) -> None:
+        for each in self.upstreams:
+            self.store.put(f"servers/{each.upstream_id}", each.entry())
+
+    async def until_ready(self) -> None:
+        async with httpx.AsyncClient() as client:
+            while True:
+                try:
+                    answer = await client.get(self.ready_url)
+                except httpx.HTTPError:
+                    await asyncio.sleep(0.01)
+                    continue
+                if answer.status_code == 200:
+                    return
+                await asyncio.sleep(0.01)
+
+    @property
+    def ready_url(self) -> str:
+        return f"http://127.0.0.1:{self.ready}/readiness"
+
+    async def ask(
+        self,
+        path: str = "/safe/x",
+        method: str = "GET",
+        identity: str = "r1",
+        deadline: str = "2000",
+    ) -> httpx.Response:
+        async with httpx.AsyncClient(timeout=10.0) as client:
+            return await client.request(
+                method,
+                f"http://127.0.0.1:{self.front}{path}",
+                headers={
+                    "Host": "h.example",
+                    "X-Request-Id": identity,
+                    "X-Deadline-Ms": deadline,
+                },
+                content=b"payload" if method == "POST" else None,
+            )
+
+    def ran(self, identity: str = "r1") -> int:
+        return sum(each.ran[identity] for each in self.upstreams)
+
+    def arrivals(self, identity: str = "r1") -> int:
+        return sum(each.arrivals[identity] for each in self.upstreams)
+
+
+@pytest.fixture
+def log_descriptor() -> Iterator[int]:
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    yield descriptor
+    os.close(descriptor)
+
+
+@pytest.fixture
+async def scene(log_descriptor: int) -> AsyncIterator[Scene]:
+    made = Scene()
+    async with (
+        made.store_listener,
+        made.upstreams[0].listener,
+        made.upstreams[1].listener,
+    ):
+        made.store.put("op/config", configuration())
+        made.register()
+        process = assembly.build(made.settings(), log_descriptor)
+        task = asyncio.ensure_future(process.run())
+        await made.until_ready()
+        yield made
+        process.stop()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_a_request_is_forwarded_and_answered(scene: Scene) -> None:
+    answer = await scene.ask("/safe/x?q=1")
+    assert_that(answer.status_code, matchers.Equals(200))
+    assert_that(answer.content, matchers.Equals(b"body"))
+    assert_that(answer.headers["x-response-signature"], matchers.Equals("sig"))
+    assert_that(answer.headers["x-request-id"], matchers.Equals("r1"))
+    (sent,) = [each.last for each in scene.upstreams if each.last]
+    assert_that(sent.target, matchers.Equals(b"/safe/x?q=1"))
+    left_ms = int(sent.header(b"x-deadline-ms") or b"0")
+    assert_that(left_ms, matchers.LessThan(2_001))
+    assert_that(left_ms, matchers.GreaterThan(1_000))
+
+
+async def test_a_body_is_forwarded_unchanged(scene: Scene) -> None:
+    await scene.ask("/unsafe/x", "POST")
+    (sent,) = [each.last for each in scene.upstreams if each.last]
+    assert_that(sent.body, matchers.Equals(b"payload"))
+
+
+async def test_a_shed_request_runs_once_elsewhere(scene: Scene) -> None:
+    scene.upstreams[1].always = "shed"
+    answers = [
+        await scene.ask("/unsafe/x", "POST", f"r{index}") for index in range(3)
+    ]
+    assert_that({each.status_code for each in answers}, matchers.Equals({200}))
+    for index in range(3):
+        assert_that(scene.ran(f"r{index}"), matchers.Equals(1))
+
+
+async def test_all_shed_is_a_refusal_that_tells_when_to_return(
+    scene: Scene,
+) -> None:
+    for each in scene.upstreams:
+        each.always = "shed"
+    answer = await scene.ask("/unsafe/x", "POST")
+    assert_that(answer.status_code, matchers.Equals(503))
+    assert_that(float(answer.headers["retry-after"]), matchers.GreaterThan(0.0))
+    assert_that(scene.ran(), matchers.Equals(0))
+
+
+async def test_an_unsafe_request_whose_answer_is_lost_is_not_sent_again(
+    scene: Scene,
+) -> None:
+    for each in scene.upstreams:
+        each.always = "lose"
+    answer = await scene.ask("/unsafe/x", "POST")
+    assert_that(answer.status_code, matchers.Equals(502))
+    assert_that(scene.arrivals(), matchers.Equals(1))
+
+
+async def test_a_safe_request_whose_answer_is_lost_is_sent_again(
+    scene: Scene,
+) -> None:
+    scene.upstreams[0].always = "lose"
+    for index in range(3):
+        answer = await scene.ask("/safe/x", identity=f"r{index}")
+        assert_that(answer.status_code, matchers.Equals(200))
+
+
+async def test_no_request_goes_to_more_upstreams_than_its_route_allows(
+    scene: Scene,
+) -> None:
+    for each in scene.upstreams:
+        each.always = "lose"
+    answer = await scene.ask("/safe/x")
+    assert_that(answer.status_code, matchers.Equals(502))
+    assert_that(scene.arrivals(), matchers.Equals(2))
+
+
+async def test_a_failure_of_an_unsafe_request_is_passed_on(
+    scene: Scene,
+) -> None:
+    for each in scene.upstreams:
+        each.always = "fail"
+    answer = await scene.ask("/unsafe/x", "POST")
+    assert_that(answer.status_code, matchers.Equals(500))
+    assert_that(answer.headers["x-response-signature"], matchers.Equals("sig"))
+    assert_that(scene.ran(), matchers.Equals(1))
+
+
+async def test_an_address_of_another_upstream_is_left(scene: Scene) -> None:
+    scene.upstreams[0].upstream_id = "i-other"
+    answer = await scene.ask("/unsafe/x", "POST")
+    assert_that(answer.status_code, matchers.Equals(200))
+    assert_that(scene.upstreams[0].ran["r1"], matchers.Equals(0))
+
+
+async def test_the_final_answer_comes_at_the_route_s_timeout(
+    scene: Scene,
+) -> None:
+    scene.store.put("op/config", configuration(4, timeout="300ms"))
+    for each in scene.upstreams:
+        each.always = "hang"
+    await asyncio.sleep(0.1)
+    answer = await scene.ask("/unsafe/x", "POST")
+    assert_that(answer.status_code, matchers.Equals(504))
+
+
+async def test_an_unknown_route_is_not_found(scene: Scene) -> None:
+    answer = await scene.ask("/other/x")
+    assert_that(answer.status_code, matchers.Equals(404))
+
+
+async def test_a_draining_upstream_gets_no_new_requests(scene: Scene) -> None:
+    leaving = scene.upstreams[0]
+    scene.store.put("servers/i-0", leaving.entry("draining"))
+    await asyncio.sleep(0.1)
+    for index in range(10):
+        await scene.ask(identity=f"d{index}")
+    assert_that(leaving.arrivals, matchers.Equals({}))
+
+
+async def test_callers_are_told_this_process(scene: Scene) -> None:
+    url = f"http://127.0.0.1:{scene.directory}/resolve"
+    async with httpx.AsyncClient() as client:
+        answer = await client.get(url, params={"name": "h", "zone": "east-a"})
+    assert_that(
+        answer.json(),
+        matchers.Equals(
+            {"addresses": [f"127.0.0.1:{scene.front}"], "ttl": "2000ms"}
+        ),
+    )
+
+
+async def test_a_process_that_leaves_completes_what_it_has(
+    scene: Scene,
+) -> None:
+    for each in scene.upstreams:
+        each.always = "slow"
+    asked = asyncio.ensure_future(scene.ask())
+    await asyncio.sleep(0.05)
+    os.kill(os.getpid(), signal.SIGTERM)
+    answer = await asked
+    assert_that(answer.status_code, matchers.Equals(200))
+    assert_that(answer.headers["connection"], matchers.Equals("close"))
+    async with httpx.AsyncClient() as client:
+        ready = await client.get(scene.ready_url)
+    assert_that(ready.status_code, matchers.Equals(503))
+
+
+async def test_no_configuration_is_a_refusal(log_descriptor: int) -> None:
+    scene = Scene()
+    async with scene.store_listener:
+        process = assembly.build(scene.settings(), log_descriptor)
+        task = asyncio.ensure_future(process.run())
+        for _ in range(100):
+            try:
+                answer = await scene.ask()
+                break
+            except httpx.HTTPError:
+                await asyncio.sleep(0.01)
+        assert_that(answer.status_code, matchers.Equals(503))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/tests/observe/test_events.py
@@ -0,0 +1,54 @@
+"""Events are bounded and never block."""
+
+from __future__ import annotations
+
+import json
+import os
+
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from lovageyoke.clock import manual
+from lovageyoke.observe import events
+
+
+def read_lines(descriptor: int) -> list[dict[str, object]]:
+    return [
+        json.loads(line) for line in os.read(descriptor, 1_000_000).splitlines()
+    ]
+
+
+def test_an_event_is_a_json_line(clock: manual.ManualClock) -> None:
+    reader, writer = os.pipe()
+    log = events.EventLog(clock, "n1", writer)
+    log.event("request", request="abc", kind="overloaded")
+    (line,) = read_lines(reader)
+    assert_that(line["event"], matchers.Equals("request"))
+    assert_that(line["kind"], matchers.Equals("overloaded"))
+    assert_that(line["vm"], matchers.Equals("n1"))
+
+
+def test_a_flood_is_cut_and_counted(clock: manual.ManualClock) -> None:
+    reader, writer = os.pipe()
+    log = events.EventLog(clock, "n1", writer)
+    for _ in range(10_000):
+        log.event("request")
+    log.event("stop")
+    clock.advance(1_000.0)
+    log.event("request")
+    lines = read_lines(reader)
+    flood = [each for each in lines if each["event"] == "request"]
+    assert_that(flood, matchers.HasLength(int(events.BURST_LINES) + 1))
+    dropped = 10_000 - int(events.BURST_LINES)
+    assert_that(flood[-1]["dropped_before"], matchers.Equals(dropped))
+
+
+def test_a_full_pipe_drops_and_does_not_block(
+    clock: manual.ManualClock,
+) -> None:
+    _, writer = os.pipe()
+    log = events.EventLog(clock, "n1", writer)
+    for _ in range(200):
+        log.event("request", text="x" * 4_000)
+        clock.advance(100.0)
+    assert_that(log.dropped["request"], matchers.GreaterThan(50))
