Share room among the processes where requests wait; serve metrics

Rivals counted as all waiting requests left upstreams empty: of each process only the request at the head tries. Now the processes where requests wait are counted.

Counters and histograms are served as text on the metrics address; a library would add about 1 MB to each process.

--- a/src/lovageyoke/fleet/members.py
+++ b/src/lovageyoke/fleet/members.py
@@ -157,13 +157,11 @@
         return chosen
 
     def waiting(self, service: str, now_ms: float) -> int:
-        """Returns how many requests wait for a service in other processes."""
+        """Returns in how many other processes requests of a service wait."""
         return sum(
-            count
+            any(name == service for name, _ in member.heartbeat.waiting)
             for member in self.live(now_ms)
             if member.heartbeat is not None
-            for name, count in member.heartbeat.waiting
-            if name == service
         )
 
     def fleet_size(self, now_ms: float) -> int:
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -12,6 +12,7 @@
 from lovageyoke.hop import server as hop_server
 from lovageyoke.node import race as node_race
 from lovageyoke.node import state as node_state
+from lovageyoke.observe import exposition
 from lovageyoke.routing import registry_model as model
 
 MAX_TRACE = 600  # Characters of a traceback in the log.
@@ -31,12 +32,16 @@
         answers: Answers by status.
         errors: Own error answers by kind.
         abandoned: Requests whose caller left.
+        request_ms: Times until the final answer.
+        wait_ms: Times until the first attempt.
     """
 
     requests: int = 0
     answers: dict[int, int] = attrs.field(factory=dict)
     errors: dict[str, int] = attrs.field(factory=dict)
     abandoned: int = 0
+    request_ms: exposition.Histogram = attrs.field(factory=exposition.Histogram)
+    wait_ms: exposition.Histogram = attrs.field(factory=exposition.Histogram)
 
 
 class Forwarder(hop_server.RequestHandler):
@@ -78,6 +83,11 @@
             if caller.streaming:
                 caller.abort()
             raise
+        took_ms = self.node.clock.now_ms() - request.arrived_ms
+        self.counters.request_ms.record(took_ms)
+        if race.first_sent_ms is not None:
+            wait_ms = race.first_sent_ms - request.arrived_ms
+            self.counters.wait_ms.record(wait_ms)
         self.finish(race, outcome, caller)
 
     def failed(self, request: messages.Request, error: Exception) -> None:
--- /dev/null
+++ b/src/lovageyoke/node/metrics.py
@@ -0,0 +1,134 @@
+"""What the forwarding process tells a metrics scraper."""
+
+from __future__ import annotations
+
+from lovageyoke.fleet import follower as fleet_follower
+from lovageyoke.hop import messages
+from lovageyoke.hop import server as hop_server
+from lovageyoke.node import forwarder as node_forwarder
+from lovageyoke.node import prober as node_prober
+from lovageyoke.node import state as node_state
+from lovageyoke.observe import exposition
+from lovageyoke.routing import registry_model as model
+from lovageyoke.store import revisions
+
+PATH = "/metrics"
+TEXT = (b"content-type", b"text/plain; version=0.0.4")
+
+
+class MetricsPage(hop_server.RequestHandler):
+    """Answers the scraper.
+
+    Attributes:
+        node: What the process knows.
+        forwarder: What it did for callers.
+        follower: How it follows the store.
+        prober: Its health checks.
+        store: Its calls to the store.
+    """
+
+    def __init__(
+        self,
+        node: node_state.NodeState,
+        forwarder: node_forwarder.Forwarder,
+        follower: fleet_follower.Follower,
+        prober: node_prober.Prober,
+        store: revisions.RevisionStore,
+    ) -> None:
+        self.node = node
+        self.forwarder = forwarder
+        self.follower = follower
+        self.prober = prober
+        self.store = store
+
+    async def handle(
+        self, request: messages.Request, caller: hop_server.CallerConnection
+    ) -> None:
+        """Answers one scrape."""
+        if request.path != PATH:
+            caller.answer(messages.Response(404, b"-", [], b"not found\n"))
+            return
+        text = "\n".join(self.lines()) + "\n"
+        caller.answer(messages.Response(200, b"OK", [TEXT], text.encode()))
+
+    def lines(self) -> list[str]:
+        """Returns the lines of the page."""
+        return [*self.counters(), *self.gauges(), *self.histograms()]
+
+    def counters(self) -> list[str]:
+        """Returns the lines of the counters."""
+        counted = self.forwarder.counters
+        answers = {str(key): each for key, each in counted.answers.items()}
+        totals = {
+            "requests": counted.requests,
+            "abandoned": counted.abandoned,
+            "sends": self.node.sends,
+            "hedges": self.node.hedges,
+            "health_checks": self.prober.sent,
+            "connections_opened": self.node.client.pool.opened,
+            "entries_rejected": self.follower.registry.rejected,
+            "log_lines": self.node.log.written,
+        }
+        refused = {
+            service: budget.refused
+            for service, budget in self.node.budgets.items()
+        }
+        waited = {
+            service: room.refused for service, room in self.node.rooms.items()
+        }
+        counter = exposition.render_counter
+        return [
+            *counter("total", "of", totals),
+            *counter("answers_total", "status", answers),
+            *counter("errors_total", "kind", counted.errors),
+            *counter("store_calls_total", "call", self.store.calls),
+            *counter("repeats_refused_total", "service", refused),
+            *counter("waits_refused_total", "service", waited),
+            *counter("log_lines_dropped", "event", self.node.log.dropped),
+        ]
+
+    def gauges(self) -> list[str]:
+        """Returns the lines of the gauges."""
+        now_ms = self.node.clock.now_ms()
+        waiting = sum(len(room.waiters) for room in self.node.rooms.values())
+        values = {
+            "configuration_version": self.forwarder.version(),
+            "store_revision": self.follower.revision,
+            "store_age_ms": self.follower.age(now_ms),
+            "store_ok": self.follower.store_ok,
+            "peers_live": len(self.node.members.live(now_ms)),
+            "upstreams_known": len(self.node.loads.by_id),
+            "requests_waiting": waiting,
+            "ready": self.node.ready,
+        }
+        return [
+            line
+            for name, value in values.items()
+            for line in exposition.render_gauge(name, float(value))
+        ]
+
+    def histograms(self) -> list[str]:
+        """Returns the lines of the histograms."""
+        render = exposition.render_histogram
+        return [
+            *render("request_ms", self.forwarder.counters.request_ms),
+            *render("wait_ms", self.forwarder.counters.wait_ms),
+            *render("loop_lag_ms", self.node.loop_lag_ms),
+        ]
+
+    def failed(self, request: messages.Request, error: Exception) -> None:
+        """Logs a fault of this process."""
+        self.node.log.event("fault", path=request.path, error=repr(error))
+
+    def limits(self) -> model.CallerLimits:
+        """Returns the bounds on scrapers."""
+        return model.CallerLimits()
+
+    def may_cancel(self, request: messages.Request) -> bool:
+        """Returns whether to give up a scrape whose caller has left."""
+        del request
+        return True
+
+    def leaving(self) -> bool:
+        """Returns whether connections should end after their answer."""
+        return self.node.leaving
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -16,7 +16,9 @@
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
 from lovageyoke.node import forwarder as node_forwarder
+from lovageyoke.node import metrics as node_metrics
 from lovageyoke.node import prober as node_prober
+from lovageyoke.node import settings as node_settings
 from lovageyoke.node import state as node_state
 from lovageyoke.routing import registry_model as model
 from lovageyoke.store import revisions
@@ -124,6 +126,7 @@
         forwarder: Answers callers.
         follower: Follows the store.
         prober: Checks upstreams.
+        metrics: Answers the metrics scraper.
         link: Speaks to the other processes.
         connections: Callers' connections.
         started_ms: Unix time of the start.
@@ -155,6 +158,9 @@
             broadcast=self.broadcast,
         )
         self.prober = node_prober.Prober(node)
+        self.metrics = node_metrics.MetricsPage(
+            node, self.forwarder, self.follower, self.prober, store
+        )
         self.link = fleet_link.PeerLink(self.hear, self.neighbours)
         self.connections = hop_server.Connections()
         self.front_connections = hop_server.Connections()
@@ -212,13 +218,24 @@
         for address in (settings.readiness, settings.directory):
             if address is None:
                 continue
-            await hop_server.listen(
-                lambda: hop_server.CallerConnection(
-                    front, node.clock, self.front_connections
-                ),
-                address.host,
-                address.port,
-            )
+            await self.listen_for(front, address)
+
+        await self.listen_for(self.metrics, settings.metrics)
+
+    async def listen_for(
+        self,
+        handler: hop_server.RequestHandler,
+        address: node_settings.Address,
+    ) -> None:
+        """Opens a listener that isn't for callers' requests."""
+        clock = self.node.clock
+        await hop_server.listen(
+            lambda: hop_server.CallerConnection(
+                handler, clock, self.front_connections
+            ),
+            address.host,
+            address.port,
+        )
 
     # Tasks
 
@@ -271,8 +288,10 @@
     async def tidy(self) -> None:
         """Closes what was idle for too long, and forgets the silent."""
         while True:
+            due_ms = self.node.clock.now_ms() + TIDY_MS
             await self.node.clock.sleep_ms(TIDY_MS)
             now_ms = self.node.clock.now_ms()
+            self.node.loop_lag_ms.record(max(0.0, now_ms - due_ms))
             self.node.client.pool.expire(now_ms)
             self.node.members.forget_silent(now_ms)
 
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -74,6 +74,7 @@
         running: The attempts in progress.
         tried: Upstreams that it was sent to.
         sends: How often it was sent.
+        first_sent_ms: When the first attempt began, None before.
         may_have_run: Whether an upstream may have run it.
         last_kind: Error of the last failed attempt.
         last_response: Failure that an upstream answered last.
@@ -97,6 +98,7 @@
         self.running: list[Attempt] = []
         self.tried: set[tuple[str, int]] = set()
         self.sends = 0
+        self.first_sent_ms: float | None = None
         self.may_have_run = False
         self.last_kind: kinds.ErrorKind | None = None
         self.last_response: messages.Response | None = None
@@ -266,13 +268,12 @@
         now_ms = node.clock.now_ms()
         rooms = sum(placement.room(each.view, self.work) for each in choices)
         processes = len(node.members.working_ids(now_ms))
-        waiting = node.members.waiting(self.service, now_ms)
-        waiting += len(node.waiting_room(self.service).waiters)
         if waits:
-            rivals = waiting * NEWS_AGE_MS / node_state.ADMIT_MS
+            rivals = 1.0 + node.members.waiting(self.service, now_ms)
+            rivals *= NEWS_AGE_MS / node_state.ADMIT_MS
         else:
             own_rate = node.budget(self.service).requests_per_ms(now_ms)
-            rivals = processes * own_rate * NEWS_AGE_MS + waiting
+            rivals = processes * own_rate * NEWS_AGE_MS
         return node.rng.random() * rivals < rooms
 
     def choose_other(self) -> placement.Choice | None:
@@ -336,6 +337,10 @@
         view.own += 1
         self.tried.add(view.upstream.key)
         self.sends += 1
+        if self.first_sent_ms is None:
+            self.first_sent_ms = now_ms
+        self.node.sends += 1
+        self.node.hedges += hedge
         crowded = view.load() > placement.COMFORTABLE_SHARE * view.slots()
         progress = retry_progress.Progress(
             max(1.0, work.service_ms), max(0.0, queue_ms), now_ms, now_ms
--- a/src/lovageyoke/node/settings.py
+++ b/src/lovageyoke/node/settings.py
@@ -57,6 +57,7 @@
         readiness: Where it is asked whether it is ready, None for nowhere.
         directory: Where callers ask for addresses, None for nowhere.
         peers: Where the other processes send their messages.
+        metrics: Where the metrics are scraped.
         store: The store.
         min_lease_ms: Shortest lease of the store.
         bounds: Bounds that the deployment agrees on.
@@ -69,6 +70,7 @@
     readiness: Address | None
     directory: Address | None
     peers: Address
+    metrics: Address
     store: Address
     min_lease_ms: float
     bounds: Bounds
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -13,6 +13,7 @@
 from lovageyoke.limits import waiting_room as limits_waiting_room
 from lovageyoke.node import settings as node_settings
 from lovageyoke.observe import events
+from lovageyoke.observe import exposition
 from lovageyoke.retry import window_budget
 from lovageyoke.routing import load_view
 from lovageyoke.routing import registry_model as model
@@ -48,6 +49,9 @@
         leaving: Whether the process is about to stop.
         unsent: Upstreams whose report the next heartbeat tells.
         urgent: Set when the others should be told at once.
+        sends: Requests sent to upstreams since the start.
+        hedges: Those sent while another attempt was running.
+        loop_lag_ms: How late the event loop woke a task.
         waiting: Set when a request begins to wait.
         rooms: Requests that wait, by service.
         failures: Failures by upstream id that it tells.
@@ -82,6 +86,9 @@
         self.unsent: dict[str, load_view.UpstreamView] = {}
         self.failures: dict[str, int] = {}
         self.urgent = asyncio.Event()
+        self.sends = 0
+        self.hedges = 0
+        self.loop_lag_ms = exposition.Histogram()
         self.waiting = asyncio.Event()
         self.rooms: dict[str, limits_waiting_room.WaitingRoom] = {}
 
--- /dev/null
+++ b/src/lovageyoke/observe/exposition.py
@@ -0,0 +1,68 @@
+"""Counters and latency histograms as text for a metrics scraper.
+
+The text is that of Prometheus. A metrics library would add a megabyte to each
+process, and nothing but this rendering would be used of it.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Mapping
+
+import attrs
+
+BUCKETS_MS = (5, 10, 25, 50, 100, 200, 300, 500, 800, 1_200, 2_000, 5_000)
+
+
+@attrs.define
+class Histogram:
+    """Latencies in buckets.
+
+    Attributes:
+        counts: Samples in each bucket, and above the last one.
+        total_ms: Sum of the samples.
+    """
+
+    counts: list[int] = attrs.field(factory=lambda: [0] * (len(BUCKETS_MS) + 1))
+    total_ms: float = 0.0
+
+    def record(self, sample_ms: float) -> None:
+        """Counts a sample."""
+        self.counts[bisect.bisect_left(BUCKETS_MS, sample_ms)] += 1
+        self.total_ms += sample_ms
+
+
+def render_counter(
+    name: str, label: str, samples: Mapping[str, float]
+) -> list[str]:
+    """Returns the lines of a counter with one label."""
+    lines = [f"# TYPE lovageyoke_{name} counter"]
+    for value, count in sorted(samples.items()):
+        lines.append(
+            f'lovageyoke_{name}{{{label}="{_escaped(value)}"}} {count}'
+        )
+    return lines
+
+
+def render_gauge(name: str, value: float) -> list[str]:
+    """Returns the lines of a gauge."""
+    return [f"# TYPE lovageyoke_{name} gauge", f"lovageyoke_{name} {value:g}"]
+
+
+def render_histogram(name: str, histogram: Histogram) -> list[str]:
+    """Returns the lines of a histogram; its bounds are in milliseconds."""
+    full = f"lovageyoke_{name}"
+    lines = [f"# TYPE {full} histogram"]
+    below = 0
+    for bound, count in zip(BUCKETS_MS, histogram.counts, strict=False):
+        below += count
+        lines.append(f'{full}_bucket{{le="{bound}"}} {below}')
+    whole = sum(histogram.counts)
+    lines.append(f'{full}_bucket{{le="+Inf"}} {whole}')
+    lines.append(f"{full}_sum {histogram.total_ms:.0f}")
+    lines.append(f"{full}_count {whole}")
+    return lines
+
+
+def _escaped(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"')
--- a/src/lovageyoke/platform/settings.py
+++ b/src/lovageyoke/platform/settings.py
@@ -12,6 +12,7 @@
 from lovageyoke.platform import durations
 from lovageyoke.platform import entries
 
+METRICS_PORT = 9_464  # As in the deploy file's metrics address.
 PATH_VARIABLE = "LOVAGEYOKE_NODE_FILE"
 
 
@@ -58,6 +59,7 @@
             peers=settings.Address(
                 str(raw["ip"]), int(raw["internal_ports"][0])
             ),
+            metrics=settings.Address(str(raw["ip"]), METRICS_PORT),
             store=_address(raw["platform"]["address"]),
             min_lease_ms=durations.milliseconds(
                 raw["platform"].get("min_ttl", "1000ms")
--- a/src/lovageyoke/store/revisions.py
+++ b/src/lovageyoke/store/revisions.py
@@ -82,11 +82,16 @@
 class RevisionStore(abc.ABC):
     """Client of the store. Each method is one call, or one a page.
 
+    Attributes:
+        calls: Calls made since the start, by name.
+
     All raise ``PlatformUnavailableError`` when nothing was done, with
     ``RateLimitedError`` below it, and ``PlatformOutcomeUnknownError`` when no
     answer came.
     """
 
+    calls: dict[str, int]
+
     @abc.abstractmethod
     async def get(self, key: str) -> tuple[Item | None, int]:
         """Returns an item, None if it is absent, and the store's revision."""
--- a/tests/fakes/revision_store.py
+++ b/tests/fakes/revision_store.py
@@ -12,7 +12,7 @@
     Attributes:
         error: Raised by every call if set.
         history_from: Changes up to this revision are gone.
-        calls: Names of the calls, in order.
+        order: Names of the calls, in order.
     """
 
     def __init__(self) -> None:
@@ -21,7 +21,8 @@
         self.revision = 1
         self.error: exceptions.PlatformError | None = None
         self.history_from = 0
-        self.calls: list[str] = []
+        self.order: list[str] = []
+        self.calls: dict[str, int] = {}
         self.leases: set[int] = set()
 
     def put(self, key: str, value: bytes) -> None:
@@ -35,7 +36,7 @@
         self.changes.append(revisions.Change(key, self.revision, None))
 
     def called(self, name: str) -> None:
-        self.calls.append(name)
+        self.order.append(name)
         if self.error is not None:
             raise self.error
 
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -28,7 +28,7 @@
     store.put("up/u2", b"draining")
     store.put("config", b"5")
     await followed.follower.step()
-    assert_that(store.calls, matchers.Equals(["stale-list", "get", "watch"]))
+    assert_that(store.order, matchers.Equals(["stale-list", "get", "watch"]))
     assert_that(followed.draining, matchers.Equals(["u2"]))
     assert_that(followed.versions, matchers.Equals([3, 5]))
 
@@ -63,7 +63,7 @@
     store.remove("up/u1")
     store.history_from = store.revision
     await followed.follower.step()
-    assert_that(store.calls[-2:], matchers.Equals(["list", "get"]))
+    assert_that(store.order[-2:], matchers.Equals(["list", "get"]))
     assert_that(followed.upstreams, matchers.Equals(["u2"]))
 
 
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -73,7 +73,9 @@
             platform_upstream.PlatformUpstream(f"i-{index}")
             for index in range(2)
         ]
-        self.front, self.directory, self.ready, self.peers = free_ports(4)
+        ports = free_ports(5)
+        self.front, self.directory, self.ready, self.peers = ports[:4]
+        self.metrics = ports[4]
 
     def settings(self) -> node_settings.NodeSettings:
         address = node_settings.Address
@@ -85,6 +87,7 @@
             readiness=address("127.0.0.1", self.ready),
             directory=address("127.0.0.1", self.directory),
             peers=address("127.0.0.1", self.peers),
+            metrics=address("127.0.0.1", self.metrics),
             store=address("127.0.0.1", self.store_listener.port),
             min_lease_ms=1_000.0,
             bounds=node_settings.Bounds(grace_ms=2_000.0),
@@ -286,6 +289,22 @@
     )
 
 
+async def test_the_metrics_tell_what_happened(scene: Scene) -> None:
+    await scene.ask()
+    await scene.ask("/other/x")
+    url = f"http://127.0.0.1:{scene.metrics}/metrics"
+    async with httpx.AsyncClient() as client:
+        text = (await client.get(url)).text
+    for line in (
+        'lovageyoke_total{of="requests"} 2',
+        'lovageyoke_answers_total{status="200"} 1',
+        'lovageyoke_errors_total{kind="unknown-service"} 1',
+        "lovageyoke_configuration_version 3",
+        "lovageyoke_request_ms_count 1",
+    ):
+        assert_that(text, matchers.Contains(line))
+
+
 async def test_a_process_that_leaves_completes_what_it_has(
     scene: Scene,
 ) -> None:
