--- a/src/lovageyoke/cli/main.py
+++ b/src/lovageyoke/cli/main.py
@@ -17,6 +17,7 @@
 from lovageyoke.cli import confirm
 from lovageyoke.cli import demo
 from lovageyoke.cli import drain
+from lovageyoke.cli import explain
 from lovageyoke.cli import plan
 from lovageyoke.cli import serve
 from lovageyoke.cli import services
@@ -42,6 +43,7 @@
     confirm,
     demo,
     drain,
+    explain,
     plan,
     serve,
     services,
--- /dev/null
+++ b/src/lovageyoke/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Follows a request through the logs of many processes."""
--- /dev/null
+++ b/src/lovageyoke/explain/story.py
@@ -0,0 +1,108 @@
+"""Finds what the logs tell of a request, and what was believed then.
+
+Pure: it takes lines and returns lines. A line may carry a prefix, as log
+collectors add one; whatever comes before the first brace is skipped.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import json
+from typing import Any
+
+import attrs
+
+BELIEFS = ("configuration", "upstreams", "store-lost", "store-regained")
+UPSTREAM_EVENTS = ("upstream-health", "upstream-silent")
+
+
+@attrs.frozen
+class Event:
+    """One line of a process's log.
+
+    Attributes:
+        wall_ms: Unix time of the VM in milliseconds.
+        vm: The VM.
+        kind: What happened.
+        fields: All fields of the line.
+    """
+
+    wall_ms: int
+    vm: str
+    kind: str
+    fields: dict[str, Any]
+
+    def concerns(self, request_id: str) -> bool:
+        """Returns whether the event is about a request."""
+        return self.fields.get("request") == request_id
+
+
+def parse(lines: Iterable[str]) -> list[Event]:
+    """Returns the events in log lines; other lines are skipped."""
+    events = []
+    for line in lines:
+        begin = line.find("{")
+        if begin < 0:
+            continue
+        try:
+            raw = json.loads(line[begin:])
+        except ValueError:
+            continue
+        if isinstance(raw, dict) and "event" in raw and "wall_ms" in raw:
+            events.append(
+                Event(
+                    int(raw["wall_ms"]),
+                    str(raw.get("vm", "?")),
+                    str(raw["event"]),
+                    raw,
+                )
+            )
+    return sorted(events, key=lambda each: each.wall_ms)
+
+
+def explain(events: list[Event], request_id: str) -> list[str]:
+    """Returns a request's story, in time order, with the beliefs in force.
+
+    Args:
+        events: The events of all processes, oldest first.
+        request_id: Identity of the request.
+    """
+    own = [each for each in events if each.concerns(request_id)]
+    if not own:
+        return [f"no line of these logs is about request {request_id}"]
+    lines: list[str] = []
+    for event in own:
+        lines.extend(_beliefs(events, event))
+        lines.append(_line(event))
+        lines.extend(f"    {step}" for step in event.fields.get("story", []))
+    return lines
+
+
+def _beliefs(events: list[Event], event: Event) -> list[str]:
+    """Returns the latest belief of each kind on the event's VM."""
+    latest: dict[str, Event] = {}
+    story = " ".join(event.fields.get("story", []))
+    for other in events:
+        if other.vm != event.vm or other.wall_ms > event.wall_ms:
+            continue
+        upstream = str(other.fields.get("upstream", ""))
+        if other.kind in BELIEFS:
+            kind = "store" if other.kind.startswith("store") else other.kind
+            latest[kind] = other
+        elif other.kind in UPSTREAM_EVENTS and upstream in story:
+            latest[other.kind + upstream] = other
+    ordered = sorted(latest.values(), key=lambda each: each.wall_ms)
+    return [
+        f"  believed for {event.wall_ms - each.wall_ms} ms: {_line(each)}"
+        for each in ordered
+    ]
+
+
+def _line(event: Event) -> str:
+    hidden = {"wall_ms", "at_ms", "vm", "event", "story", "request"}
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in event.fields.items()
+        if name not in hidden
+    )
+    return f"{event.wall_ms} {event.vm} {event.kind} {fields}"
--- /dev/null
+++ b/tests/explain/test_story.py
@@ -0,0 +1,70 @@
+"""A request's story is found in the logs of many processes."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+
+from testtools import matchers
+from testtools.assertions import assert_that
+import typer.testing
+
+from lovageyoke.cli import app
+from lovageyoke.cli import main  # noqa: F401
+from lovageyoke.explain import story
+
+
+def line(wall_ms: int, vm: str, event: str, **fields: object) -> str:
+    raw = {"wall_ms": wall_ms, "vm": vm, "event": event, **fields}
+    return f"  3.2 {vm} " + json.dumps(raw)
+
+
+LOG = [
+    line(100, "n1", "configuration", version=7),
+    line(150, "n2", "configuration", version=8),
+    line(170, "n1", "upstream-silent", upstream="u1"),
+    line(180, "n1", "upstream-silent", upstream="u9"),
+    line(
+        300,
+        "n1",
+        "request",
+        request="r1",
+        outcome="upstream-reset",
+        story=["send u1 at=0", "upstream-reset u1 at=20"],
+    ),
+    line(350, "n1", "configuration", version=9),
+    "a line that is no event",
+    "{broken",
+]
+
+
+def test_a_story_holds_the_beliefs_of_its_process() -> None:
+    told = story.explain(story.parse(LOG), "r1")
+    assert_that(
+        told,
+        matchers.Equals(
+            [
+                "  believed for 200 ms: 100 n1 configuration version=7",
+                "  believed for 130 ms: 170 n1 upstream-silent upstream=u1",
+                "300 n1 request outcome=upstream-reset",
+                "    send u1 at=0",
+                "    upstream-reset u1 at=20",
+            ]
+        ),
+    )
+
+
+def test_an_unknown_request_is_told() -> None:
+    (told,) = story.explain(story.parse(LOG), "r2")
+    assert_that(told, matchers.Contains("no line"))
+
+
+def test_the_command_reads_logs(tmp_path: pathlib.Path) -> None:
+    log = tmp_path / "n1.log"
+    log.write_text("\n".join(LOG), encoding="utf-8")
+    runner = typer.testing.CliRunner()
+    result = runner.invoke(app.APP, ["explain", "r1", str(log)])
+    assert_that(result.exit_code, matchers.Equals(0))
+    assert_that(result.output, matchers.Contains("upstream-reset"))
+    missing = runner.invoke(app.APP, ["explain", "r1", str(tmp_path / "x")])
+    assert_that(missing.exit_code, matchers.Not(matchers.Equals(0)))
