--- a/src/lovageyoke/routing/placement.py
+++ b/src/lovageyoke/routing/placement.py
@@ -25,6 +25,7 @@
 HARMLESS_CROWDING = 1.25
 LEAST_ROOM = 0.2
 MARGIN = 1.25  # Paces change while a request is worked on.
+FOREIGN_SHARE = 0.3  # Equal upstreams nearby save bytes between domains.
 SELECTIVITY = 6.0  # An upstream that takes twice as long gets 1/64 as many.
 
 
@@ -52,11 +53,13 @@
         view: The upstream.
         finish_ms: Expected time until its answer.
         cost_ms: ``finish_ms`` and all that speaks against the upstream.
+        foreign: Whether it runs in another failure domain.
     """
 
     view: load_view.UpstreamView
     finish_ms: float
     cost_ms: float
+    foreign: bool = False
 
 
 def expected_finish_ms(
@@ -119,12 +122,13 @@
     """
     finish_ms = expected_finish_ms(view, work, now_ms, usual)
     cost_ms = finish_ms + FAILURE_MS * view.aged_failure_rate(now_ms)
-    if view.upstream.failure_domain != failure_domain:
+    foreign = view.upstream.failure_domain != failure_domain
+    if foreign:
         finish_ms += CROSS_DOMAIN_MS
         cost_ms += CROSS_DOMAIN_MS + CROSS_DOMAIN_MS_PER_KB * work.answer_kb
     if view.unhealthy or view.silent_probes >= load_view.SILENT_PROBES:
         cost_ms += UNHEALTHY_MS
-    return Choice(view, finish_ms, cost_ms)
+    return Choice(view, finish_ms, cost_ms, foreign)
 
 
 def appraise_all(
@@ -190,6 +194,7 @@
     weights = [
         max(LEAST_ROOM, room(each.view, work))
         * (best_ms / each.cost_ms) ** SELECTIVITY
+        * (FOREIGN_SHARE if each.foreign else 1.0)
         for each in choices
     ]
     return rng.choices(choices, weights)[0]
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -109,3 +109,10 @@
         failing.record_outcome(True, 0.0)
     counts = drawn([failing, view("sound")])
     assert_that(counts["failing"], matchers.LessThan(10))
+
+
+def test_an_equal_upstream_nearby_is_taken_more_often() -> None:
+    small = placement.Work(100.0, 0.1)
+    counts = drawn([view("near"), view("far", domain="b")], small)
+    assert_that(counts["near"], matchers.GreaterThan(700))
+    assert_that(counts["far"], matchers.GreaterThan(100))
