Let changes of the store gather before the next watch

At the start 34 upstreams register one by one, and each change cost a call of both watchers. A pause of 60 ms is far below the bound on drains.

--- a/src/lovageyoke/fleet/follower.py
+++ b/src/lovageyoke/fleet/follower.py
@@ -27,6 +27,7 @@
 from lovageyoke.store import revisions
 
 WATCH_WAIT_MS = 1_000.0  # A silent connection is noticed soon after.
+BATCH_MS = 60.0  # Changes come in groups; one call brings several.
 LOOK_MS = 50.0  # How often a process looks whether it must read itself.
 STALE_MS = 1_250.0  # The store's state is confirmed about twice a second.
 STALE_STEP_MS = 15.0  # Spreads the processes that notice at the same time.
@@ -85,6 +86,7 @@
         gap_ms: Since when a heartbeat has shown missed changes, None if none.
         behind_ms: Since when a peer has had a newer configuration, None if
             none has.
+        batch: Whether changes have just come, as more will do soon.
         newest_version: Newest configuration that a peer follows.
     """
 
@@ -124,6 +126,7 @@
         self.kept_since = 0
         self.gap_ms: float | None = None
         self.behind_ms: float | None = None
+        self.batch = False
         self.newest_version = 0
         self.retry_ms = RETRY_FIRST_MS
 
@@ -132,6 +135,9 @@
         while True:
             try:
                 await self.step()
+                if self.batch:
+                    self.batch = False
+                    await self.clock.sleep_ms(BATCH_MS)
             except exceptions.PlatformError as error:
                 self.store_failed(error)
                 await self.clock.sleep_ms(self.next_retry_ms())
@@ -230,6 +236,7 @@
         changed = False
         for change in changes.events:
             changed |= self.take_watched(change, now_ms)
+        self.batch = bool(changes.events)
         self.revision = max(self.revision, changes.revision)
         waited = now_ms - asked_ms >= WATCH_WAIT_MS * 0.9
         self.fresh_ms = now_ms if changes.events or waited else asked_ms
