Name the admission queue, split large modules, test truthful outcomes

No behaviour changes: the waiting room is an admission queue, its room free capacity; registration, directory answers, error answers, attempts and outcomes have modules of their own. Outcomes are pure now: a test goes over every error kind and checks that only proof of not having run is answered with a status that promises it.

--- a/src/lovageyoke/fleet/registry.py
+++ b/src/lovageyoke/fleet/registry.py
@@ -15,7 +15,7 @@
 import attrs
 
 from lovageyoke.errors import exceptions
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 from lovageyoke.store import revisions
 
 RETURN_MS = 2_200.0  # Live upstreams register again within two seconds.
--- /dev/null
+++ b/src/lovageyoke/hop/answers.py
@@ -0,0 +1,40 @@
+"""Answers to callers: what passes of a response, and error answers."""
+
+from __future__ import annotations
+
+from lovageyoke.errors import kinds
+from lovageyoke.errors import table
+from lovageyoke.hop import messages
+
+
+def passed_headers(response: messages.Response) -> messages.Headers:
+    """Returns the headers of a response that pass to the caller."""
+    return [
+        each
+        for each in messages.end_to_end(response.headers)
+        if each[0] != b"content-length"
+    ]
+
+
+def error_response(
+    kind: kinds.ErrorKind, retry_after_ms: float | None = None
+) -> messages.Response:
+    """Returns the answer for an error.
+
+    Args:
+        kind: The error.
+        retry_after_ms: When to come back, in milliseconds; only sent for
+            errors that allow it.
+    """
+    answer = table.answer_for(kind)
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (table.OUTCOME_HEADER.encode(), answer.outcome.value.encode()),
+    ]
+    if answer.retry_after_s is not None:
+        seconds = float(answer.retry_after_s)
+        if retry_after_ms is not None:
+            seconds = retry_after_ms / 1_000.0
+        headers.append((b"retry-after", f"{seconds:.3f}".encode()))
+    body = f"{answer.title}.\n".encode()
+    return messages.Response(answer.status, kind.value.encode(), headers, body)
--- a/src/lovageyoke/hop/attempt.py
+++ b/src/lovageyoke/hop/attempt.py
@@ -13,7 +13,7 @@
 from lovageyoke.hop import messages
 from lovageyoke.hop import names
 from lovageyoke.hop import pool as hop_pool
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 CONNECT_TIMEOUT_MS = 250.0  # Many round trips, even between failure domains.
 MISDIRECTED = 421
--- a/src/lovageyoke/hop/pool.py
+++ b/src/lovageyoke/hop/pool.py
@@ -5,7 +5,7 @@
 import collections
 
 from lovageyoke.hop import connection as hop_connection
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 IDLE_UNTOLD_MS = (
     4_000.0  # Peers that tell no idle limit mostly have a longer one.
--- a/src/lovageyoke/hop/server.py
+++ b/src/lovageyoke/hop/server.py
@@ -13,10 +13,10 @@
 
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import kinds
-from lovageyoke.errors import table
+from lovageyoke.hop import answers
 from lovageyoke.hop import connection as hop_connection
 from lovageyoke.hop import messages
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 MAX_PIPELINED = 16  # Requests read ahead of the one that is answered.
 RESUME_BELOW_BYTES = 32_768
@@ -214,7 +214,7 @@
 
     def answer(self, response: messages.Response) -> None:
         """Writes a whole answer."""
-        headers = answer_headers(response)
+        headers = answers.passed_headers(response)
         headers.append((b"content-length", str(len(response.body)).encode()))
         self.write_head(response, headers)
         if self.current is None or self.current.method != b"HEAD":
@@ -224,7 +224,7 @@
     def start(self, response: messages.Response) -> None:
         """Begins an answer whose body follows piece by piece."""
         self.streaming = True
-        headers = answer_headers(response)
+        headers = answers.passed_headers(response)
         length = response.header(b"content-length")
         self.chunked = length is None
         if length is not None:
@@ -306,7 +306,7 @@
             if self.streaming or self.answered:
                 self.abort()
             else:
-                self.answer(error_response(kinds.ErrorKind.INTERNAL))
+                self.answer(answers.error_response(kinds.ErrorKind.INTERNAL))
         finally:
             self.connections.reading -= 1
             self.task = None
@@ -348,7 +348,7 @@
         self.stop_timer()
         if self.task is None and not self.waiting:
             self.current = None
-            self.answer(error_response(kind))
+            self.answer(answers.error_response(kind))
             self.close()
             return
         # The answer to an earlier request is still due; no more is read.
@@ -385,39 +385,6 @@
         self.body_bytes = 0
 
 
-def answer_headers(response: messages.Response) -> messages.Headers:
-    """Returns the headers of a response that pass to the caller."""
-    return [
-        each
-        for each in messages.end_to_end(response.headers)
-        if each[0] != b"content-length"
-    ]
-
-
-def error_response(
-    kind: kinds.ErrorKind, retry_after_ms: float | None = None
-) -> messages.Response:
-    """Returns the answer for an error.
-
-    Args:
-        kind: The error.
-        retry_after_ms: When to come back, in milliseconds; only sent for
-            errors that allow it.
-    """
-    answer = table.answer_for(kind)
-    headers = [
-        (b"content-type", b"text/plain; charset=utf-8"),
-        (table.OUTCOME_HEADER.encode(), answer.outcome.value.encode()),
-    ]
-    if answer.retry_after_s is not None:
-        seconds = float(answer.retry_after_s)
-        if retry_after_ms is not None:
-            seconds = retry_after_ms / 1_000.0
-        headers.append((b"retry-after", f"{seconds:.3f}".encode()))
-    body = f"{answer.title}.\n".encode()
-    return messages.Response(answer.status, kind.value.encode(), headers, body)
-
-
 Factory = Callable[[], CallerConnection]
 
 
--- a/src/lovageyoke/limits/waiting_room.py
+++ b/src/lovageyoke/limits/admission_queue.py
@@ -1,4 +1,4 @@
-"""Requests that wait in this process until an upstream has room.
+"""Requests that wait in this process until an upstream has free capacity.
 
 An upstream that is filled beyond its capacity slows down for all its
 requests, so under a burst they wait here, where the next free slot of any
@@ -23,7 +23,7 @@
 
 
 @attrs.define(eq=False)
-class Waiter:
+class QueuedRequest:
     """A request that waits.
 
     Attributes:
@@ -31,7 +31,7 @@
         arrived_ms: When it came.
         target_ms: When it has to start to be answered within its target.
         give_up_ms: When it is refused if it still waits.
-        start: Starts it if an upstream has room, and returns whether one
+        start: Starts it if an upstream has capacity, and returns whether one
             had. Its argument is the only upstream to take, None for any.
         refuse: Ends its wait without a start.
     """
@@ -48,25 +48,25 @@
         return now_ms > self.target_ms, self.priority, self.target_ms
 
 
-class WaitingRoom:
+class AdmissionQueue:
     """The requests of one service that wait.
 
     Attributes:
-        waiters: The requests.
+        queued: The requests.
         gap_ms: Mean time between two starts while requests wait.
         last_start_ms: When the last one was started.
         refused: Requests refused since the start.
     """
 
     def __init__(self) -> None:
-        self.waiters: list[Waiter] = []
+        self.queued: list[QueuedRequest] = []
         self.gap_ms = FIRST_GAP_MS
         self.last_start_ms: float | None = None
         self.refused = 0
 
     def expected_wait_ms(self, priority: int) -> float:
         """Returns how long a request that comes now is expected to wait."""
-        ahead = sum(each.priority <= priority for each in self.waiters)
+        ahead = sum(each.priority <= priority for each in self.queued)
         return (ahead + 1) * self.gap_ms
 
     def admits(self, priority: int, left_ms: float) -> bool:
@@ -76,23 +76,23 @@
             priority: Its rank.
             left_ms: Time within which it has to be started.
         """
-        if len(self.waiters) >= MAX_WAITING:
+        if len(self.queued) >= MAX_WAITING:
             return False
-        return not self.waiters or self.expected_wait_ms(priority) < left_ms
+        return not self.queued or self.expected_wait_ms(priority) < left_ms
 
-    def enter(self, waiter: Waiter) -> None:
+    def enter(self, queued_request: QueuedRequest) -> None:
         """Lets a request wait."""
-        self.waiters.append(waiter)
+        self.queued.append(queued_request)
 
-    def leave(self, waiter: Waiter) -> None:
+    def leave(self, queued_request: QueuedRequest) -> None:
         """Forgets a request whose caller has left."""
-        if waiter in self.waiters:
-            self.waiters.remove(waiter)
+        if queued_request in self.queued:
+            self.queued.remove(queued_request)
 
     def admit(
         self, now_ms: float, freed: load_view.UpstreamView | None = None
     ) -> int:
-        """Starts waiting requests while upstreams have room.
+        """Starts waiting requests while upstreams have capacity.
 
         Args:
             now_ms: The time.
@@ -103,28 +103,28 @@
             How many were started.
         """
         self.refuse_late(now_ms)
-        self.waiters.sort(key=lambda each: each.order(now_ms))
+        self.queued.sort(key=lambda each: each.order(now_ms))
         started = 0
-        for waiter in list(self.waiters):
-            if not waiter.start(freed):
+        for queued_request in list(self.queued):
+            if not queued_request.start(freed):
                 # Late requests would take slots that those in time need.
                 break
-            self.waiters.remove(waiter)
+            self.queued.remove(queued_request)
             started += 1
             self.note_start(now_ms)
             if freed is not None:
                 break
-        if not self.waiters:
+        if not self.queued:
             self.last_start_ms = None
         return started
 
     def refuse_late(self, now_ms: float) -> None:
         """Refuses the requests that have waited for too long."""
-        late = [each for each in self.waiters if now_ms >= each.give_up_ms]
-        for waiter in late:
-            self.waiters.remove(waiter)
+        late = [each for each in self.queued if now_ms >= each.give_up_ms]
+        for queued_request in late:
+            self.queued.remove(queued_request)
             self.refused += 1
-            waiter.refuse()
+            queued_request.refuse()
 
     def note_start(self, now_ms: float) -> None:
         """Learns how often a request is started."""
--- a/src/lovageyoke/node/assembly.py
+++ b/src/lovageyoke/node/assembly.py
@@ -13,6 +13,7 @@
 from lovageyoke.fleet import messages as fleet_messages
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.hop import pool as hop_pool
+from lovageyoke.node import front
 from lovageyoke.node import process
 from lovageyoke.node import settings as node_settings
 from lovageyoke.node import state as node_state
@@ -31,7 +32,7 @@
     entries.decode_upstream,
     entries.decode_configuration,
 )
-DIALECT = process.Dialect(
+DIALECT = front.Dialect(
     callers.decode_resolve,
     callers.encode_addresses,
     callers.is_readiness,
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -8,12 +8,14 @@
 
 from lovageyoke.errors import kinds
 from lovageyoke.errors import table
+from lovageyoke.hop import answers
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
+from lovageyoke.node import outcomes
 from lovageyoke.node import race as node_race
 from lovageyoke.node import state as node_state
 from lovageyoke.observe import exposition
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 MAX_TRACE = 600  # Characters of a traceback in the log.
 DEFAULT_WAIT_MS = 60_000.0  # For callers that tell no deadline.
@@ -148,7 +150,7 @@
     def finish(
         self,
         race: node_race.Race,
-        outcome: node_race.Outcome,
+        outcome: outcomes.Outcome,
         caller: hop_server.CallerConnection,
     ) -> None:
         """Tells the caller how its request ended."""
@@ -180,9 +182,7 @@
         race: node_race.Race | None,
     ) -> None:
         """Answers with an error of this process."""
-        response = hop_server.error_response(
-            kind, self.retry_after_ms(kind, race)
-        )
+        response = answers.error_response(kind, self.retry_after_ms(kind, race))
         identity = request.header(self.node.client.names.request_id)
         if identity is not None:
             response.headers.append(
@@ -215,9 +215,9 @@
             return None
         wait_ms = RETRY_LEAST_MS
         if race is not None:
-            room = self.node.waiting_room(race.service)
-            if room.waiters:
-                wait_ms = room.expected_wait_ms(race.route.priority)
+            queue = self.node.queue(race.service)
+            if queue.queued:
+                wait_ms = queue.expected_wait_ms(race.route.priority)
         wait_ms = min(max(wait_ms, RETRY_LEAST_MS), RETRY_MOST_MS)
         return wait_ms * self.node.rng.uniform(0.6, 1.4)
 
--- /dev/null
+++ b/src/lovageyoke/node/front.py
@@ -0,0 +1,98 @@
+"""Answers callers that ask for addresses, and the check for readiness."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from lovageyoke.fleet import directory as fleet_directory
+from lovageyoke.fleet import messages as fleet_messages
+from lovageyoke.hop import messages
+from lovageyoke.hop import server as hop_server
+from lovageyoke.node import state as node_state
+from lovageyoke.routing import model
+
+
+@attrs.frozen
+class Dialect:
+    """How this process is asked for addresses and readiness.
+
+    Attributes:
+        decode_query: Returns what a request asks of the directory, if
+            anything.
+        encode_addresses: Returns the directory's answer.
+        is_readiness: Whether a request asks for readiness.
+        decode_node: Returns the process of an entry's value.
+        encode_node: Returns the value of a process's entry.
+        node_prefix: Start of the keys of the processes' entries.
+    """
+
+    decode_query: Callable[
+        [messages.Request], fleet_directory.AddressQuery | None
+    ]
+    encode_addresses: Callable[[list[str], float], messages.Response]
+    is_readiness: Callable[[messages.Request], bool]
+    decode_node: Callable[[bytes], fleet_messages.Peer]
+    encode_node: Callable[[fleet_messages.Peer], bytes]
+    node_prefix: str
+
+
+class Front(hop_server.RequestHandler):
+    """Answers what callers ask before they send requests.
+
+    Attributes:
+        node: What the process knows.
+        dialect: How it is asked.
+    """
+
+    def __init__(self, node: node_state.NodeState, dialect: Dialect) -> None:
+        self.node = node
+        self.dialect = dialect
+
+    async def handle(
+        self, request: messages.Request, caller: hop_server.CallerConnection
+    ) -> None:
+        """Answers one request."""
+        caller.answer(self.respond(request))
+
+    def respond(self, request: messages.Request) -> messages.Response:
+        """Returns the answer to a request."""
+        if self.dialect.is_readiness(request):
+            if self.node.ready:
+                return messages.Response(200, b"OK", [], b"ready\n")
+            return messages.Response(503, b"not-ready", [], b"not ready\n")
+        query = self.dialect.decode_query(request)
+        if query is None:
+            return messages.Response(404, b"not-found", [], b"not found\n")
+        addresses = fleet_directory.addresses(
+            self.node.members,
+            query,
+            self.node.ready,
+            self.node.clock.now_ms(),
+            self.node.rng,
+        )
+        if not addresses:
+            return messages.Response(503, b"not-ready", [], b"no address\n")
+        lifetime_ms = min(
+            fleet_directory.LIFETIME_MS,
+            self.node.settings.bounds.lifetime_most_ms,
+        )
+        return self.dialect.encode_addresses(addresses, lifetime_ms)
+
+    def failed(self, request: messages.Request, error: Exception) -> None:
+        """Logs a fault of this process."""
+        self.node.log.event("fault", path=request.path, error=repr(error))
+
+    def limits(self) -> model.CallerLimits:
+        """Returns the bounds on callers."""
+        return model.CallerLimits()
+
+    def may_cancel(self, request: messages.Request) -> bool:
+        """Returns whether to give up a request whose caller has left."""
+        del request
+        return True
+
+    def leaving(self) -> bool:
+        """Returns whether connections should end after their answer."""
+        return self.node.leaving
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -9,7 +9,7 @@
 from lovageyoke.node import prober as node_prober
 from lovageyoke.node import state as node_state
 from lovageyoke.observe import exposition
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 from lovageyoke.store import revisions
 
 PATH = "/metrics"
@@ -74,7 +74,8 @@
             for service, budget in self.node.budgets.items()
         }
         waited = {
-            service: room.refused for service, room in self.node.rooms.items()
+            service: queue.refused
+            for service, queue in self.node.queues.items()
         }
         counter = exposition.render_counter
         return [
@@ -90,7 +91,7 @@
     def gauges(self) -> list[str]:
         """Returns the lines of the gauges."""
         now_ms = self.node.clock.now_ms()
-        waiting = sum(len(room.waiters) for room in self.node.rooms.values())
+        waiting = sum(len(queue.queued) for queue in self.node.queues.values())
         values = {
             "configuration_version": self.forwarder.version(),
             "store_revision": self.follower.revision,
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -3,24 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 import contextlib
 import signal
 
-import attrs
-
-from lovageyoke.fleet import directory as fleet_directory
 from lovageyoke.fleet import follower as fleet_follower
 from lovageyoke.fleet import link as fleet_link
 from lovageyoke.fleet import messages as fleet_messages
-from lovageyoke.hop import messages
+from lovageyoke.fleet import registration as fleet_registration
 from lovageyoke.hop import server as hop_server
 from lovageyoke.node import forwarder as node_forwarder
+from lovageyoke.node import front as node_front
 from lovageyoke.node import metrics as node_metrics
 from lovageyoke.node import prober as node_prober
 from lovageyoke.node import settings as node_settings
 from lovageyoke.node import state as node_state
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 from lovageyoke.store import revisions
 
 CHECK_ANSWERS_MS = 8.0  # Health checks are answered in this time, mostly.
@@ -32,90 +29,6 @@
 LEASE_MS = 60_000.0  # Processes find each other by it, not who is alive.
 
 
-@attrs.frozen
-class Dialect:
-    """How this process is asked for addresses and readiness.
-
-    Attributes:
-        decode_query: Returns what a request asks of the directory, if
-            anything.
-        encode_addresses: Returns the directory's answer.
-        is_readiness: Whether a request asks for readiness.
-        decode_node: Returns the process of an entry's value.
-        encode_node: Returns the value of a process's entry.
-        node_prefix: Start of the keys of the processes' entries.
-    """
-
-    decode_query: Callable[
-        [messages.Request], fleet_directory.AddressQuery | None
-    ]
-    encode_addresses: Callable[[list[str], float], messages.Response]
-    is_readiness: Callable[[messages.Request], bool]
-    decode_node: Callable[[bytes], fleet_messages.Peer]
-    encode_node: Callable[[fleet_messages.Peer], bytes]
-    node_prefix: str
-
-
-class Front(hop_server.RequestHandler):
-    """Answers what callers ask before they send requests.
-
-    Attributes:
-        node: What the process knows.
-        dialect: How it is asked.
-    """
-
-    def __init__(self, node: node_state.NodeState, dialect: Dialect) -> None:
-        self.node = node
-        self.dialect = dialect
-
-    async def handle(
-        self, request: messages.Request, caller: hop_server.CallerConnection
-    ) -> None:
-        """Answers one request."""
-        caller.answer(self.respond(request))
-
-    def respond(self, request: messages.Request) -> messages.Response:
-        """Returns the answer to a request."""
-        if self.dialect.is_readiness(request):
-            if self.node.ready:
-                return messages.Response(200, b"OK", [], b"ready\n")
-            return messages.Response(503, b"not-ready", [], b"not ready\n")
-        query = self.dialect.decode_query(request)
-        if query is None:
-            return messages.Response(404, b"not-found", [], b"not found\n")
-        addresses = fleet_directory.addresses(
-            self.node.members,
-            query,
-            self.node.ready,
-            self.node.clock.now_ms(),
-            self.node.rng,
-        )
-        if not addresses:
-            return messages.Response(503, b"not-ready", [], b"no address\n")
-        lifetime_ms = min(
-            fleet_directory.LIFETIME_MS,
-            self.node.settings.bounds.lifetime_most_ms,
-        )
-        return self.dialect.encode_addresses(addresses, lifetime_ms)
-
-    def failed(self, request: messages.Request, error: Exception) -> None:
-        """Logs a fault of this process."""
-        self.node.log.event("fault", path=request.path, error=repr(error))
-
-    def limits(self) -> model.CallerLimits:
-        """Returns the bounds on callers."""
-        return model.CallerLimits()
-
-    def may_cancel(self, request: messages.Request) -> bool:
-        """Returns whether to give up a request whose caller has left."""
-        del request
-        return True
-
-    def leaving(self) -> bool:
-        """Returns whether connections should end after their answer."""
-        return self.node.leaving
-
-
 class NodeProcess:
     """The whole process.
 
@@ -139,7 +52,7 @@
         node: node_state.NodeState,
         store: revisions.RevisionStore,
         layout: fleet_follower.Layout,
-        dialect: Dialect,
+        dialect: node_front.Dialect,
         decode_deadline: node_state.DecodeDeadline,
     ) -> None:
         self.node = node
@@ -214,7 +127,7 @@
             settings.front.host,
             settings.front.port,
         )
-        front = Front(node, self.dialect)
+        front = node_front.Front(node, self.dialect)
         for address in (settings.readiness, settings.directory):
             if address is None:
                 continue
@@ -246,7 +159,7 @@
         the other.
         """
         own = self.node.members.own
-        registration = fleet_follower.Registration(
+        registration = fleet_registration.Registration(
             store=self.store,
             key=self.dialect.node_prefix + own.node_id,
             value=self.dialect.encode_node(own),
@@ -256,7 +169,7 @@
             rng=self.node.rng,
         )
         await registration.register()
-        await fleet_follower.find_peers(
+        await fleet_registration.find_peers(
             store=self.store,
             prefix=self.dialect.node_prefix,
             decode=self.dialect.decode_node,
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -4,20 +4,20 @@
 
 import asyncio
 
-import attrs
-
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
 from lovageyoke.errors import table
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
-from lovageyoke.limits import waiting_room
+from lovageyoke.limits import admission_queue
+from lovageyoke.node import attempts
+from lovageyoke.node import outcomes
 from lovageyoke.node import state as node_state
 from lovageyoke.retry import progress as retry_progress
 from lovageyoke.routing import load_view
+from lovageyoke.routing import model
 from lovageyoke.routing import placement
-from lovageyoke.routing import registry_model as model
 
 NEWS_AGE_MS = 30.0  # Requests sent so lately aren't in the loads yet.
 LOOK_MS = 30.0  # How often running attempts are compared with others.
@@ -27,40 +27,6 @@
 Kind = kinds.ErrorKind
 
 
-@attrs.define(eq=False)
-class Attempt:
-    """One sending of the request.
-
-    Attributes:
-        view: The upstream.
-        task: Sends it.
-        delivery: What became of it so far.
-        progress: How far it should have come.
-        hedge: Whether another attempt was running when it began.
-        crowded: Whether the upstream was fuller than is comfortable.
-    """
-
-    view: load_view.UpstreamView
-    task: asyncio.Task[messages.Response]
-    delivery: hop_attempt.Delivery
-    progress: retry_progress.Progress
-    hedge: bool
-    crowded: bool
-
-
-@attrs.frozen
-class Outcome:
-    """The end of a request.
-
-    Attributes:
-        response: An upstream's response, None if there is none to pass on.
-        kind: The error to answer with if there is no response.
-    """
-
-    response: messages.Response | None
-    kind: kinds.ErrorKind | None = None
-
-
 class Race:
     """Sends a request to upstreams until one answers it.
 
@@ -95,7 +61,7 @@
         self.service = service
         self.arrived_ms = sending.request.arrived_ms
         self.sink = sink
-        self.running: list[Attempt] = []
+        self.running: list[attempts.Attempt] = []
         self.tried: set[tuple[str, int]] = set()
         self.sends = 0
         self.first_sent_ms: float | None = None
@@ -104,18 +70,18 @@
         self.last_response: messages.Response | None = None
         self.story: list[str] = []
 
-    async def run(self) -> Outcome:
+    async def run(self) -> outcomes.Outcome:
         """Returns the answer of the first upstream that serves the request."""
         try:
             return await self.race()
         finally:
             self.give_up_running()
 
-    async def race(self) -> Outcome:
+    async def race(self) -> outcomes.Outcome:
         """Starts attempts and takes their results until one decides."""
         refusal = await self.admit()
         if refusal is not None:
-            return Outcome(None, refusal)
+            return outcomes.Outcome(None, refusal)
         while True:
             left_ms = self.sending.deadline_ms - self.node.clock.now_ms()
             if left_ms <= 0.0:
@@ -165,7 +131,7 @@
         return self.target_ms - placement.MARGIN * self.work.service_ms
 
     async def admit(self) -> kinds.ErrorKind | None:
-        """Starts the first attempt, now or when an upstream has room.
+        """Starts the first attempt, now or when an upstream has capacity.
 
         Returns:
             Why none was started, None if one was.
@@ -177,17 +143,17 @@
         soonest_ms = min(each.finish_ms for each in choices)
         if now_ms + soonest_ms > self.sending.deadline_ms:
             return Kind.OVERLOADED
-        room = self.node.waiting_room(self.service)
-        if not room.waiters and self.start_if_fitting():
+        queue = self.node.queue(self.service)
+        if not queue.queued and self.start_if_fitting():
             return None
         left_ms = self.sending.deadline_ms - now_ms
-        wait_ms = left_ms * waiting_room.GIVE_UP_SHARE
-        if not room.admits(self.route.priority, wait_ms):
+        wait_ms = left_ms * admission_queue.GIVE_UP_SHARE
+        if not queue.admits(self.route.priority, wait_ms):
             return Kind.OVERLOADED
-        return await self.wait_in(room, now_ms + wait_ms)
+        return await self.wait_in(queue, now_ms + wait_ms)
 
     async def wait_in(
-        self, room: waiting_room.WaitingRoom, give_up_ms: float
+        self, queue: admission_queue.AdmissionQueue, give_up_ms: float
     ) -> kinds.ErrorKind | None:
         """Waits until the first attempt was started or refused."""
         started: asyncio.Future[bool] = (
@@ -204,7 +170,7 @@
             end(True)
             return True
 
-        waiter = waiting_room.Waiter(
+        queued_request = admission_queue.QueuedRequest(
             self.route.priority,
             self.arrived_ms,
             self.latest_start_ms,
@@ -212,29 +178,29 @@
             start,
             lambda: end(False),
         )
-        room.enter(waiter)
+        queue.enter(queued_request)
         self.node.waiting.set()
-        self.story.append(f"wait behind={len(room.waiters) - 1}")
+        self.story.append(f"wait behind={len(queue.queued) - 1}")
         try:
             return None if await started else Kind.OVERLOADED
         finally:
-            room.leave(waiter)
+            queue.leave(queued_request)
 
     def start_if_fitting(
         self,
         freed: load_view.UpstreamView | None = None,
         waits: bool = False,
     ) -> bool:
-        """Starts the first attempt if an upstream has room for it.
+        """Starts the first attempt if an upstream has capacity for it.
 
         While the target can still be met, only upstreams that meet it will
         do; later any that answers before the deadline.
 
         Args:
             freed: The only upstream to take, where a request of this process
-                has just ended. Other room is seen by all processes at once,
+                has just ended. Other capacity is seen by all processes at once,
                 so it is taken by chance.
-            waits: Whether the request has waited for room.
+            waits: Whether the request has waited for it.
 
         Returns:
             Whether an attempt was started.
@@ -247,7 +213,7 @@
             good = placement.fitting(choices, self.work, left_ms)
         if freed is not None:
             good = [each for each in good if each.view is freed]
-        elif not self.takes_shared_room(good, waits):
+        elif not self.takes_shared_capacity(good, waits):
             return False
         choice = placement.draw(good, self.work, self.node.rng)
         if choice is None:
@@ -255,18 +221,20 @@
         self.start(choice, hedge=False)
         return True
 
-    def takes_shared_room(
+    def takes_shared_capacity(
         self, choices: list[placement.Choice], waits: bool
     ) -> bool:
-        """Returns whether to take room that all processes see.
+        """Returns whether to take capacity that all processes see.
 
         Args:
-            choices: The upstreams with room.
+            choices: The upstreams with capacity.
             waits: Whether the request has waited.
         """
         node = self.node
         now_ms = node.clock.now_ms()
-        rooms = sum(placement.room(each.view, self.work) for each in choices)
+        free = sum(
+            placement.free_capacity(each.view, self.work) for each in choices
+        )
         processes = len(node.members.working_ids(now_ms))
         if waits:
             rivals = 1.0 + node.members.waiting(self.service, now_ms)
@@ -274,14 +242,14 @@
         else:
             own_rate = node.budget(self.service).requests_per_ms(now_ms)
             rivals = processes * own_rate * NEWS_AGE_MS
-        return node.rng.random() * rivals < rooms
+        return node.rng.random() * rivals < free
 
     def choose_other(self) -> placement.Choice | None:
         """Returns an upstream for another attempt, if one is good enough."""
         choices = self.appraise()
         left_ms = self.sending.deadline_ms - self.node.clock.now_ms()
-        with_room = placement.fitting(choices, self.work, left_ms)
-        return placement.draw(with_room, self.work, self.node.rng)
+        with_capacity = placement.fitting(choices, self.work, left_ms)
+        return placement.draw(with_capacity, self.work, self.node.rng)
 
     def try_again(self) -> kinds.ErrorKind | None:
         """Starts another attempt after a failure; returns why not."""
@@ -346,12 +314,12 @@
             max(1.0, work.service_ms), max(0.0, queue_ms), now_ms, now_ms
         )
         self.running.append(
-            Attempt(view, task, delivery, progress, hedge, crowded)
+            attempts.Attempt(view, task, delivery, progress, hedge, crowded)
         )
 
     # Results
 
-    def take_results(self) -> Outcome | None:
+    def take_results(self) -> outcomes.Outcome | None:
         """Takes finished attempts; returns the outcome if one decides."""
         for attempt in [each for each in self.running if each.task.done()]:
             self.running.remove(attempt)
@@ -362,7 +330,7 @@
                 return outcome
         return None
 
-    def take_result(self, attempt: Attempt) -> Outcome | None:
+    def take_result(self, attempt: attempts.Attempt) -> outcomes.Outcome | None:
         """Takes one finished attempt."""
         now_ms = self.node.clock.now_ms()
         error = attempt.task.exception()
@@ -371,7 +339,7 @@
                 raise error
             self.attempt_failed(attempt, error.kind, now_ms)
             if self.sink is not None and self.sink.streaming:
-                return Outcome(None, Kind.RESPONSE_TRUNCATED)
+                return outcomes.Outcome(None, Kind.RESPONSE_TRUNCATED)
             return None
         response = attempt.task.result()
         self.learn(attempt, response, now_ms)
@@ -379,14 +347,14 @@
         if kind is None or response.streamed:
             attempt.view.record_outcome(False, now_ms)
             self.story.append(f"answer {response.status}")
-            return Outcome(response)
+            return outcomes.Outcome(response)
         self.attempt_failed(attempt, kind, now_ms)
         if kind is Kind.UPSTREAM_FAILED:
             self.last_response = response
         return None
 
     def attempt_failed(
-        self, attempt: Attempt, kind: kinds.ErrorKind, now_ms: float
+        self, attempt: attempts.Attempt, kind: kinds.ErrorKind, now_ms: float
     ) -> None:
         """Notes why an attempt failed and what may have run."""
         self.last_kind = kind
@@ -403,7 +371,10 @@
         self.node.note_failure(attempt.view)
 
     def learn(
-        self, attempt: Attempt, response: messages.Response, now_ms: float
+        self,
+        attempt: attempts.Attempt,
+        response: messages.Response,
+        now_ms: float,
     ) -> None:
         """Takes the load report and the time of a response."""
         node = self.node
@@ -443,7 +414,7 @@
         attempt.progress.advance(pace, now_ms)
         if self.sends >= self.route.max_attempts:
             return
-        if self.node.waiting_room(self.service).waiters:
+        if self.node.queue(self.service).queued:
             return
         if self.sink is not None and self.sink.streaming:
             return
@@ -475,26 +446,14 @@
                 self.node.note_failure(attempt.view)
         self.running = []
 
-    # Ends
-
-    def deadline_outcome(self) -> Outcome:
+    def deadline_outcome(self) -> outcomes.Outcome:
         """Returns the outcome when the deadline has passed."""
-        sent = any(each.delivery.sent for each in self.running)
         self.story.append("deadline")
-        if sent or self.may_have_run:
-            return Outcome(None, Kind.DEADLINE_AFTER_DISPATCH)
-        return Outcome(None, Kind.OVERLOADED)
+        sent = any(each.delivery.sent for each in self.running)
+        return outcomes.at_deadline(sent or self.may_have_run)
 
-    def failure_outcome(self, kind: kinds.ErrorKind) -> Outcome:
+    def failure_outcome(self, kind: kinds.ErrorKind) -> outcomes.Outcome:
         """Returns the outcome when no attempt is left to make."""
-        if self.last_response is not None:
-            return Outcome(self.last_response)
-        if self.may_have_run:
-            answer = table.answer_for(kind)
-            if answer.outcome is table.Outcome.NOT_RUN:
-                kind = Kind.UPSTREAM_RESET
-            return Outcome(None, kind)
-        if table.answer_for(kind).outcome is table.Outcome.NOT_RUN:
-            # Nothing ran, so the caller may come back for any request.
-            return Outcome(None, Kind.OVERLOADED)
-        return Outcome(None, kind)
+        return outcomes.after_failures(
+            kind, self.last_response, self.may_have_run
+        )
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -10,13 +10,13 @@
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
 from lovageyoke.hop import attempt as hop_attempt
-from lovageyoke.limits import waiting_room as limits_waiting_room
+from lovageyoke.limits import admission_queue as limits_queue
 from lovageyoke.node import settings as node_settings
 from lovageyoke.observe import events
 from lovageyoke.observe import exposition
 from lovageyoke.retry import window_budget
 from lovageyoke.routing import load_view
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 from lovageyoke.routing import route_table
 from lovageyoke.routing import work_estimate
 
@@ -53,7 +53,7 @@
         hedges: Those sent while another attempt was running.
         loop_lag_ms: How late the event loop woke a task.
         waiting: Set when a request begins to wait.
-        rooms: Requests that wait, by service.
+        queues: Requests that wait, by service.
         failures: Failures by upstream id that it tells.
     """
 
@@ -90,7 +90,7 @@
         self.hedges = 0
         self.loop_lag_ms = exposition.Histogram()
         self.waiting = asyncio.Event()
-        self.rooms: dict[str, limits_waiting_room.WaitingRoom] = {}
+        self.queues: dict[str, limits_queue.AdmissionQueue] = {}
 
     @property
     def failure_domain(self) -> str:
@@ -133,46 +133,46 @@
             self.budgets[service] = budget
         return budget
 
-    def waiting_room(self, service: str) -> limits_waiting_room.WaitingRoom:
-        """Returns the waiting room of a service."""
-        room = self.rooms.get(service)
-        if room is None:
-            room = limits_waiting_room.WaitingRoom()
-            self.rooms[service] = room
-        return room
+    def queue(self, service: str) -> limits_queue.AdmissionQueue:
+        """Returns the admission queue of a service."""
+        queue = self.queues.get(service)
+        if queue is None:
+            queue = limits_queue.AdmissionQueue()
+            self.queues[service] = queue
+        return queue
 
     def waiting_counts(self) -> tuple[tuple[str, int], ...]:
         """Returns how many requests wait here, by service."""
         return tuple(
-            (service, len(room.waiters))
-            for service, room in self.rooms.items()
-            if room.waiters
+            (service, len(queue.queued))
+            for service, queue in self.queues.items()
+            if queue.queued
         )
 
     def slot_freed(self, service: str, view: load_view.UpstreamView) -> None:
         """Lets the next request take the slot of one that has ended."""
-        room = self.rooms.get(service)
-        if room is not None and room.waiters:
+        queue = self.queues.get(service)
+        if queue is not None and queue.queued:
             loop = asyncio.get_running_loop()
-            loop.call_soon(self.admit_freed, room, view)
+            loop.call_soon(self.admit_freed, queue, view)
 
     def admit_freed(
         self,
-        room: limits_waiting_room.WaitingRoom,
+        queue: limits_queue.AdmissionQueue,
         view: load_view.UpstreamView,
     ) -> None:
         """Starts a waiting request at an upstream that has a free slot."""
-        room.admit(self.clock.now_ms(), view)
+        queue.admit(self.clock.now_ms(), view)
 
     def admit_waiting(self) -> None:
-        """Starts waiting requests where upstreams have room."""
-        if not any(room.waiters for room in self.rooms.values()):
+        """Starts waiting requests where upstreams have queue."""
+        if not any(queue.queued for queue in self.queues.values()):
             self.waiting.clear()
             return
         now_ms = self.clock.now_ms()
-        for room in self.rooms.values():
-            if room.waiters:
-                room.admit(now_ms)
+        for queue in self.queues.values():
+            if queue.queued:
+                queue.admit(now_ms)
 
     def take_report(
         self,
--- a/src/lovageyoke/platform/entries.py
+++ b/src/lovageyoke/platform/entries.py
@@ -7,7 +7,7 @@
 
 from lovageyoke.errors import exceptions
 from lovageyoke.platform import durations
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 UPSTREAM_PREFIX = "servers/"
 CONFIGURATION_KEY = "op/config"
--- a/src/lovageyoke/routing/load_view.py
+++ b/src/lovageyoke/routing/load_view.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 PACE_MEMORY_MS = 400.0  # Paces change about twice a second.
 FAILURE_HALF_LIFE_MS = 2_500.0
--- a/src/lovageyoke/routing/placement.py
+++ b/src/lovageyoke/routing/placement.py
@@ -23,7 +23,7 @@
 FAILURE_MS = 1_500.0  # What a certain failure costs the caller.
 COMFORTABLE_SHARE = 0.8  # Many upstreams slow down when fuller than this.
 HARMLESS_CROWDING = 1.25
-LEAST_ROOM = 0.2
+LEAST_CAPACITY = 0.2
 MARGIN = 1.25  # Paces change while a request is worked on.
 FOREIGN_SHARE = 0.3  # Equal upstreams nearby save bytes between domains.
 SELECTIVITY = 6.0  # An upstream that takes twice as long gets 1/64 as many.
@@ -94,7 +94,7 @@
     return max(1, math.floor(COMFORTABLE_SHARE * slots))
 
 
-def room(view: load_view.UpstreamView, work: Work) -> float:
+def free_capacity(view: load_view.UpstreamView, work: Work) -> float:
     """Returns how many more requests an upstream takes without crowding."""
     return max(0.0, capacity(view, work) - view.load())
 
@@ -160,7 +160,7 @@
 def fitting(
     choices: Iterable[Choice], work: Work, most_ms: float
 ) -> list[Choice]:
-    """Returns the upstreams with room that answer soon enough.
+    """Returns the upstreams with free capacity that answer soon enough.
 
     Args:
         choices: What to expect of each upstream.
@@ -170,7 +170,8 @@
     return [
         each
         for each in choices
-        if MARGIN * each.finish_ms <= most_ms and room(each.view, work) > 0.0
+        if MARGIN * each.finish_ms <= most_ms
+        and free_capacity(each.view, work) > 0.0
     ]
 
 
@@ -179,9 +180,9 @@
 ) -> Choice | None:
     """Returns an upstream for a request, None when there is none.
 
-    Each upstream is drawn in proportion to its room and to a power of its
-    speed. Processes that share the same slightly old reports so spread their
-    requests over all good upstreams instead of crowding the best one.
+    Each upstream is drawn in proportion to its free capacity and to a power
+    of its speed. Processes that share the same slightly old reports so spread
+    their requests over all good upstreams instead of crowding the best one.
 
     Args:
         choices: What to expect of each upstream.
@@ -192,7 +193,7 @@
         return None
     best_ms = min(each.cost_ms for each in choices)
     weights = [
-        max(LEAST_ROOM, room(each.view, work))
+        max(LEAST_CAPACITY, free_capacity(each.view, work))
         * (best_ms / each.cost_ms) ** SELECTIVITY
         * (FOREIGN_SHARE if each.foreign else 1.0)
         for each in choices
--- a/src/lovageyoke/routing/route_table.py
+++ b/src/lovageyoke/routing/route_table.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 
 class RouteTable:
--- a/src/lovageyoke/routing/work_estimate.py
+++ b/src/lovageyoke/routing/work_estimate.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from lovageyoke.routing import model
 from lovageyoke.routing import placement
-from lovageyoke.routing import registry_model as model
 
 FIRST_SHARE_OF_TARGET = 0.4  # Targets leave room for a slow upstream.
 FIRST_ANSWER_KB = 4.0
--- a/tests/fakes/handlers.py
+++ b/tests/fakes/handlers.py
@@ -9,7 +9,7 @@
 from lovageyoke.clock import system
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 Respond = Callable[[messages.Request], Awaitable[messages.Response | None]]
 
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -16,7 +16,7 @@
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
 from lovageyoke.observe import events
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 PeerOf = Callable[..., messages.Peer]
 HeartbeatOf = Callable[..., messages.Heartbeat]
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -8,7 +8,7 @@
 
 from lovageyoke.errors import exceptions
 from lovageyoke.fleet import registry as fleet_registry
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 from lovageyoke.store import revisions
 
 RETURN_MS = fleet_registry.RETURN_MS
--- a/tests/hop/test_server.py
+++ b/tests/hop/test_server.py
@@ -11,7 +11,7 @@
 
 from fakes import handlers
 from lovageyoke.hop import messages
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/limits/test_waiting_room.py
+++ b/tests/limits/test_admission_queue.py
@@ -5,7 +5,7 @@
 from testtools import matchers
 from testtools.assertions import assert_that
 
-from lovageyoke.limits import waiting_room
+from lovageyoke.limits import admission_queue
 from lovageyoke.routing import load_view
 
 
@@ -13,7 +13,7 @@
     """Requests that wait for a number of free slots."""
 
     def __init__(self) -> None:
-        self.room = waiting_room.WaitingRoom()
+        self.queue = admission_queue.AdmissionQueue()
         self.free = 0
         self.started: list[str] = []
         self.refused: list[str] = []
@@ -24,7 +24,7 @@
         priority: int = 1,
         target_ms: float = 200.0,
         give_up_ms: float = 600.0,
-    ) -> waiting_room.Waiter:
+    ) -> admission_queue.QueuedRequest:
         def start(freed: load_view.UpstreamView | None) -> bool:
             del freed
             if self.free == 0:
@@ -33,7 +33,7 @@
             self.started.append(name)
             return True
 
-        waiter = waiting_room.Waiter(
+        queued_request = admission_queue.QueuedRequest(
             priority,
             0.0,
             target_ms,
@@ -41,12 +41,12 @@
             start,
             lambda: self.refused.append(name),
         )
-        self.room.enter(waiter)
-        return waiter
+        self.queue.enter(queued_request)
+        return queued_request
 
     def admit(self, now_ms: float, free: int) -> None:
         self.free = free
-        self.room.admit(now_ms)
+        self.queue.admit(now_ms)
 
 
 def test_the_most_urgent_goes_first() -> None:
@@ -78,21 +78,21 @@
 
 def test_a_caller_that_has_left_is_forgotten() -> None:
     scene = Scene()
-    waiter = scene.enter("gone")
-    scene.room.leave(waiter)
-    scene.room.leave(waiter)
+    queued_request = scene.enter("gone")
+    scene.queue.leave(queued_request)
+    scene.queue.leave(queued_request)
     scene.admit(0.0, free=1)
     assert_that(scene.started, matchers.Equals([]))
 
 
 def test_a_turn_that_can_t_come_in_time_is_refused_at_once() -> None:
     scene = Scene()
-    assert_that(scene.room.admits(1, 1.0), matchers.Equals(True))
+    assert_that(scene.queue.admits(1, 1.0), matchers.Equals(True))
     for index in range(40):
         scene.enter(str(index))
     for step in range(1, 11):
         scene.admit(step * 50.0, free=1)
-    wait_ms = scene.room.expected_wait_ms(1)
+    wait_ms = scene.queue.expected_wait_ms(1)
     assert_that(wait_ms, matchers.GreaterThan(600.0))
-    assert_that(scene.room.admits(1, 600.0), matchers.Equals(False))
-    assert_that(scene.room.admits(0, 600.0), matchers.Equals(True))
+    assert_that(scene.queue.admits(1, 600.0), matchers.Equals(False))
+    assert_that(scene.queue.admits(0, 600.0), matchers.Equals(True))
--- /dev/null
+++ b/tests/node/test_outcomes.py
@@ -0,0 +1,52 @@
+"""A status that promises that nothing ran is only sent when that is so."""
+
+from __future__ import annotations
+
+import pytest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from lovageyoke.errors import kinds
+from lovageyoke.errors import table
+from lovageyoke.hop import messages
+from lovageyoke.node import outcomes
+
+PROMISES = {408, 421, 429, 503}
+
+
+def status_of(outcome: outcomes.Outcome) -> int:
+    assert outcome.kind is not None
+    return table.answer_for(outcome.kind).status
+
+
+@pytest.mark.parametrize("kind", list(kinds.ErrorKind))
+def test_a_request_that_may_have_run_gets_no_promise(
+    kind: kinds.ErrorKind,
+) -> None:
+    outcome = outcomes.after_failures(kind, None, may_have_run=True)
+    assert_that(PROMISES, matchers.Not(matchers.Contains(status_of(outcome))))
+
+
+@pytest.mark.parametrize("kind", list(kinds.ErrorKind))
+def test_a_promise_needs_an_error_that_proves_it(
+    kind: kinds.ErrorKind,
+) -> None:
+    outcome = outcomes.after_failures(kind, None, may_have_run=False)
+    proven = table.answer_for(kind).outcome is table.Outcome.NOT_RUN
+    assert_that(status_of(outcome) in PROMISES, matchers.Equals(proven))
+
+
+def test_an_upstream_s_own_failure_is_passed_on() -> None:
+    failure = messages.Response(500, b"-", [])
+    outcome = outcomes.after_failures(
+        kinds.ErrorKind.UPSTREAM_SHED, failure, may_have_run=True
+    )
+    assert_that(outcome.response, matchers.Is(failure))
+
+
+@pytest.mark.parametrize(
+    ("may_have_run", "status"), [(True, 504), (False, 503)]
+)
+def test_the_deadline(may_have_run: bool, status: int) -> None:
+    outcome = outcomes.at_deadline(may_have_run)
+    assert_that(status_of(outcome), matchers.Equals(status))
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -12,7 +12,7 @@
 
 from lovageyoke.errors import exceptions
 from lovageyoke.platform import entries
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 ENTRY = {
     "service": "maps",
--- a/tests/routing/test_load_view.py
+++ b/tests/routing/test_load_view.py
@@ -7,7 +7,7 @@
 from testtools.assertions import assert_that
 
 from lovageyoke.routing import load_view
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 
 
 def upstream(
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -13,8 +13,8 @@
 from testtools.assertions import assert_that
 
 from lovageyoke.routing import load_view
+from lovageyoke.routing import model
 from lovageyoke.routing import placement
-from lovageyoke.routing import registry_model as model
 
 WORK = placement.Work(service_ms=100.0, answer_kb=1.0, crowding=1.7)
 DOWNLOAD = placement.Work(service_ms=100.0, answer_kb=90.0)
@@ -85,9 +85,11 @@
 
 def test_a_crowded_upstream_has_no_room_if_crowding_slows_it() -> None:
     crowded = view("u", running=4)
-    assert_that(placement.room(crowded, WORK), matchers.Equals(0.0))
+    assert_that(placement.free_capacity(crowded, WORK), matchers.Equals(0.0))
     harmless = placement.Work(100.0, 1.0, crowding=1.0)
-    assert_that(placement.room(crowded, harmless), matchers.Equals(2.0))
+    assert_that(
+        placement.free_capacity(crowded, harmless), matchers.Equals(2.0)
+    )
 
 
 def test_fitting_upstreams_have_room_and_answer_in_time() -> None:
--- a/tests/routing/test_route_table.py
+++ b/tests/routing/test_route_table.py
@@ -7,7 +7,7 @@
 from testtools import matchers
 from testtools.assertions import assert_that
 
-from lovageyoke.routing import registry_model as model
+from lovageyoke.routing import model
 from lovageyoke.routing import route_table
 
 
