Drop a waiting request that may run once when its caller leaves

Cause, found by reading: a request that isn't idempotent was never given up, also while it still waited here; it would have been sent long after its caller had left. Now one that was not sent is given up like any other. The test failed before. Choosing for a request moves to a module of its own.

--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -53,6 +53,7 @@
         node: What the process knows.
         decode_deadline: Decodes the header that tells a caller's deadline.
         counters: What it did.
+        races: The requests in progress, by the identity of the object.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self.node = node
         self.decode_deadline = decode_deadline
         self.counters = Counters()
+        self.races: dict[int, node_race.Race] = {}
 
     async def handle(
         self, request: messages.Request, caller: hop_server.CallerConnection
@@ -77,6 +79,7 @@
         now_ms = self.node.clock.now_ms()
         self.node.budget(service).record_request(now_ms)
         race = self.race(request, route, service, caller)
+        self.races[id(request)] = race
         try:
             outcome = await race.run()
         except BaseException:
@@ -85,6 +88,8 @@
             if caller.streaming:
                 caller.abort()
             raise
+        finally:
+            del self.races[id(request)]
         took_ms = self.node.clock.now_ms() - request.arrived_ms
         self.counters.request_ms.record(took_ms)
         if race.first_sent_ms is not None:
@@ -109,8 +114,11 @@
 
     def may_cancel(self, request: messages.Request) -> bool:
         """Returns whether to give up a request whose caller has left."""
-        route = self.route_of(request)
-        return isinstance(route, kinds.ErrorKind) or route.idempotent
+        race = self.races.get(id(request))
+        if race is None:
+            return True
+        # A request that may run once is either not begun or completed.
+        return race.sending.repeatable or not race.was_sent()
 
     def leaving(self) -> bool:
         """Returns whether connections should end after their answer."""
--- /dev/null
+++ b/src/lovageyoke/node/placing.py
@@ -0,0 +1,124 @@
+"""Chooses the upstreams of one request from what the process knows."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from lovageyoke.node import state as node_state
+from lovageyoke.routing import load_view
+from lovageyoke.routing import model
+from lovageyoke.routing import placement
+
+NEWS_AGE_MS = 30.0  # Requests sent so lately aren't in the loads yet.
+
+
+class Placing:
+    """Chooses upstreams for a request's attempts.
+
+    Attributes:
+        node: What the process knows.
+        route: The request's route.
+        service: The service that serves it.
+        arrived_ms: When it came.
+        deadline_ms: When its final answer is due.
+    """
+
+    def __init__(
+        self,
+        node: node_state.NodeState,
+        route: model.Route,
+        service: str,
+        arrived_ms: float,
+        deadline_ms: float,
+    ) -> None:
+        self.node = node
+        self.route = route
+        self.service = service
+        self.arrived_ms = arrived_ms
+        self.deadline_ms = deadline_ms
+
+    @property
+    def work(self) -> placement.Work:
+        """What the request is expected to need."""
+        return self.node.work.of(self.route, self.service)
+
+    @property
+    def target_ms(self) -> float:
+        """When an answer stops being worth most."""
+        return self.arrived_ms + self.route.target_latency_ms
+
+    @property
+    def latest_start_ms(self) -> float:
+        """When a start at a usual upstream can't meet the target any more."""
+        return self.target_ms - placement.MARGIN * self.work.service_ms
+
+    def appraise(
+        self, tried: Collection[tuple[str, int]] = ()
+    ) -> list[placement.Choice]:
+        """Returns what to expect of each upstream that was not tried."""
+        node = self.node
+        return placement.appraise_all(
+            node.loads.of_service(self.service),
+            self.work,
+            failure_domain=node.failure_domain,
+            usual=node.loads.usual_pace(self.service),
+            now_ms=node.clock.now_ms(),
+            excluded=tried,
+        )
+
+    def choose_first(
+        self, freed: load_view.UpstreamView | None, waits: bool
+    ) -> placement.Choice | None:
+        """Returns an upstream for the first attempt, if one has capacity.
+
+        While the target can still be met, only upstreams that meet it will
+        do; later any that answers before the deadline.
+
+        Args:
+            freed: The only upstream to take, where a request of this process
+                has just ended. Other capacity is seen by all processes at
+                once, so it is taken by chance.
+            waits: Whether the request has waited.
+        """
+        choices = self.appraise()
+        now_ms = self.node.clock.now_ms()
+        work = self.work
+        good = placement.fitting(choices, work, self.target_ms - now_ms)
+        if not good and now_ms > self.latest_start_ms:
+            good = placement.fitting(choices, work, self.deadline_ms - now_ms)
+        if freed is not None:
+            good = [each for each in good if each.view is freed]
+        elif not self.takes_shared_capacity(good, waits):
+            return None
+        return placement.draw(good, work, self.node.rng)
+
+    def takes_shared_capacity(
+        self, choices: list[placement.Choice], waits: bool
+    ) -> bool:
+        """Returns whether to take capacity that all processes see.
+
+        Args:
+            choices: The upstreams with capacity.
+            waits: Whether the request has waited.
+        """
+        node = self.node
+        now_ms = node.clock.now_ms()
+        free = sum(
+            placement.free_capacity(each.view, self.work) for each in choices
+        )
+        if waits:
+            rivals = 1.0 + node.members.waiting(self.service, now_ms)
+            rivals *= NEWS_AGE_MS / node_state.ADMIT_MS
+        else:
+            processes = len(node.members.working_ids(now_ms))
+            own_rate = node.budget(self.service).requests_per_ms(now_ms)
+            rivals = processes * own_rate * NEWS_AGE_MS
+        return node.rng.random() * rivals < free
+
+    def choose_other(
+        self, tried: Collection[tuple[str, int]]
+    ) -> placement.Choice | None:
+        """Returns an upstream for another attempt, if one is good enough."""
+        left_ms = self.deadline_ms - self.node.clock.now_ms()
+        choices = placement.fitting(self.appraise(tried), self.work, left_ms)
+        return placement.draw(choices, self.work, self.node.rng)
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -13,13 +13,13 @@
 from lovageyoke.limits import admission_queue
 from lovageyoke.node import attempts
 from lovageyoke.node import outcomes
+from lovageyoke.node import placing
 from lovageyoke.node import state as node_state
 from lovageyoke.retry import progress as retry_progress
 from lovageyoke.routing import load_view
 from lovageyoke.routing import model
 from lovageyoke.routing import placement
 
-NEWS_AGE_MS = 30.0  # Requests sent so lately aren't in the loads yet.
 LOOK_MS = 30.0  # How often running attempts are compared with others.
 ABANDONED = 2.0  # An attempt this far past its work has failed its caller.
 MS_PER_SECOND = 1_000.0
@@ -36,6 +36,7 @@
         route: Its route.
         service: The service that serves it.
         arrived_ms: When it came.
+        placing: Chooses its upstreams.
         sink: Where a large body goes while it comes.
         running: The attempts in progress.
         tried: Upstreams that it was sent to.
@@ -60,6 +61,9 @@
         self.route = route
         self.service = service
         self.arrived_ms = sending.request.arrived_ms
+        self.placing = placing.Placing(
+            node, route, service, self.arrived_ms, sending.deadline_ms
+        )
         self.sink = sink
         self.running: list[attempts.Attempt] = []
         self.tried: set[tuple[str, int]] = set()
@@ -101,34 +105,13 @@
             else:
                 self.consider_hedge()
 
-    # Starting
-
-    def appraise(self) -> list[placement.Choice]:
-        """Returns what to expect of each upstream that was not tried."""
-        node = self.node
-        return placement.appraise_all(
-            node.loads.of_service(self.service),
-            self.work,
-            failure_domain=node.failure_domain,
-            usual=node.loads.usual_pace(self.service),
-            now_ms=node.clock.now_ms(),
-            excluded=self.tried,
-        )
-
-    @property
-    def work(self) -> placement.Work:
-        """What the request is expected to need."""
-        return self.node.work.of(self.route, self.service)
-
-    @property
-    def target_ms(self) -> float:
-        """When an answer stops being worth most."""
-        return self.arrived_ms + self.route.target_latency_ms
+    def was_sent(self) -> bool:
+        """Returns whether an upstream may have begun to work on it."""
+        if self.may_have_run:
+            return True
+        return any(each.delivery.sent for each in self.running)
 
-    @property
-    def latest_start_ms(self) -> float:
-        """When a start at a usual upstream can't meet the target any more."""
-        return self.target_ms - placement.MARGIN * self.work.service_ms
+    # Starting
 
     async def admit(self) -> kinds.ErrorKind | None:
         """Starts the first attempt, now or when an upstream has capacity.
@@ -136,7 +119,7 @@
         Returns:
             Why none was started, None if one was.
         """
-        choices = self.appraise()
+        choices = self.placing.appraise(self.tried)
         if not choices:
             return Kind.NO_UPSTREAM
         now_ms = self.node.clock.now_ms()
@@ -173,7 +156,7 @@
         queued_request = admission_queue.QueuedRequest(
             self.route.priority,
             self.arrived_ms,
-            self.latest_start_ms,
+            self.placing.latest_start_ms,
             give_up_ms,
             start,
             lambda: end(False),
@@ -193,70 +176,25 @@
     ) -> bool:
         """Starts the first attempt if an upstream has capacity for it.
 
-        While the target can still be met, only upstreams that meet it will
-        do; later any that answers before the deadline.
-
         Args:
-            freed: The only upstream to take, where a request of this process
-                has just ended. Other capacity is seen by all processes at once,
-                so it is taken by chance.
-            waits: Whether the request has waited for it.
+            freed: The only upstream to take, if any.
+            waits: Whether the request has waited.
 
         Returns:
             Whether an attempt was started.
         """
-        choices = self.appraise()
-        now_ms = self.node.clock.now_ms()
-        good = placement.fitting(choices, self.work, self.target_ms - now_ms)
-        if not good and now_ms > self.latest_start_ms:
-            left_ms = self.sending.deadline_ms - now_ms
-            good = placement.fitting(choices, self.work, left_ms)
-        if freed is not None:
-            good = [each for each in good if each.view is freed]
-        elif not self.takes_shared_capacity(good, waits):
-            return False
-        choice = placement.draw(good, self.work, self.node.rng)
+        choice = self.placing.choose_first(freed, waits)
         if choice is None:
             return False
         self.start(choice, hedge=False)
         return True
 
-    def takes_shared_capacity(
-        self, choices: list[placement.Choice], waits: bool
-    ) -> bool:
-        """Returns whether to take capacity that all processes see.
-
-        Args:
-            choices: The upstreams with capacity.
-            waits: Whether the request has waited.
-        """
-        node = self.node
-        now_ms = node.clock.now_ms()
-        free = sum(
-            placement.free_capacity(each.view, self.work) for each in choices
-        )
-        processes = len(node.members.working_ids(now_ms))
-        if waits:
-            rivals = 1.0 + node.members.waiting(self.service, now_ms)
-            rivals *= NEWS_AGE_MS / node_state.ADMIT_MS
-        else:
-            own_rate = node.budget(self.service).requests_per_ms(now_ms)
-            rivals = processes * own_rate * NEWS_AGE_MS
-        return node.rng.random() * rivals < free
-
-    def choose_other(self) -> placement.Choice | None:
-        """Returns an upstream for another attempt, if one is good enough."""
-        choices = self.appraise()
-        left_ms = self.sending.deadline_ms - self.node.clock.now_ms()
-        with_capacity = placement.fitting(choices, self.work, left_ms)
-        return placement.draw(with_capacity, self.work, self.node.rng)
-
     def try_again(self) -> kinds.ErrorKind | None:
         """Starts another attempt after a failure; returns why not."""
         kind = self.last_kind or Kind.UPSTREAM_RESET
         if not self.may_repeat(kind):
             return kind
-        choice = self.choose_other()
+        choice = self.placing.choose_other(self.tried)
         if choice is None:
             return kind
         if self.sends > 0 and not self.spend():
@@ -286,7 +224,7 @@
         """Starts an attempt."""
         view = choice.view
         now_ms = self.node.clock.now_ms()
-        work = self.work
+        work = self.placing.work
         usual = self.node.loads.usual_pace(self.service)
         pace = view.pace(now_ms, usual)
         queue_ms = choice.finish_ms - pace * work.service_ms
@@ -423,7 +361,7 @@
         target_ms = self.route.target_latency_ms
         if retry_progress.in_time(elapsed_ms, remaining_ms, target_ms):
             return
-        choice = self.choose_other()
+        choice = self.placing.choose_other(self.tried)
         if choice is None:
             return
         left_ms = self.sending.deadline_ms - now_ms
@@ -449,8 +387,7 @@
     def deadline_outcome(self) -> outcomes.Outcome:
         """Returns the outcome when the deadline has passed."""
         self.story.append("deadline")
-        sent = any(each.delivery.sent for each in self.running)
-        return outcomes.at_deadline(sent or self.may_have_run)
+        return outcomes.at_deadline(self.was_sent())
 
     def failure_outcome(self, kind: kinds.ErrorKind) -> outcomes.Outcome:
         """Returns the outcome when no attempt is left to make."""
--- a/tests/fakes/platform_upstream.py
+++ b/tests/fakes/platform_upstream.py
@@ -19,6 +19,7 @@
         arrivals: How often each request came, by its id.
         ran: How often each request was run.
         last: The last request.
+        load: The load that it reports.
     """
 
     def __init__(self, upstream_id: str) -> None:
@@ -28,6 +29,7 @@
         self.arrivals: collections.Counter[str] = collections.Counter()
         self.ran: collections.Counter[str] = collections.Counter()
         self.last: messages.Request | None = None
+        self.load = b"0,0,6,100"
         self.handler = handlers.Handler(self.respond)
         self.listener = handlers.Listener(self.handler)
 
@@ -80,7 +82,7 @@
     ) -> messages.Response:
         all_headers = [
             (b"x-instance-id", self.upstream_id.encode()),
-            (b"x-backend-load", b"0,0,6,100"),
+            (b"x-backend-load", self.load),
             *headers,
         ]
         if identity is not None:
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -19,6 +19,7 @@
 from fakes import platform_store
 from fakes import platform_upstream
 from lovageyoke.node import assembly
+from lovageyoke.node import process as node_process
 from lovageyoke.node import settings as node_settings
 
 pytestmark = pytest.mark.anyio
@@ -76,6 +77,7 @@
         ports = free_ports(5)
         self.front, self.directory, self.ready, self.peers = ports[:4]
         self.metrics = ports[4]
+        self.process: node_process.NodeProcess | None = None
 
     def settings(self) -> node_settings.NodeSettings:
         address = node_settings.Address
@@ -109,6 +111,14 @@
                     return
                 await asyncio.sleep(0.01)
 
+    async def fill_upstreams(self) -> None:
+        for each in self.upstreams:
+            each.load = b"6,9,6,100"
+        assert self.process is not None
+        views = self.process.node.loads.by_id
+        while min(each.load() for each in views.values()) < 15:
+            await asyncio.sleep(0.01)
+
     @property
     def ready_url(self) -> str:
         return f"http://127.0.0.1:{self.ready}/readiness"
@@ -157,6 +167,7 @@
         made.store.put("op/config", configuration())
         made.register()
         process = assembly.build(made.settings(), log_descriptor)
+        made.process = process
         task = asyncio.ensure_future(process.run())
         await made.until_ready()
         yield made
@@ -289,6 +300,33 @@
     )
 
 
+async def test_a_waiting_request_whose_caller_has_left_is_never_sent(
+    scene: Scene,
+) -> None:
+    await scene.fill_upstreams()
+    asked = asyncio.ensure_future(scene.ask("/unsafe/x", "POST"))
+    await asyncio.sleep(0.1)
+    asked.cancel()
+    await asyncio.sleep(0.1)
+    for each in scene.upstreams:
+        each.load = b"0,0,6,100"
+    await asyncio.sleep(0.3)
+    assert_that(scene.arrivals(), matchers.Equals(0))
+
+
+async def test_a_waiting_request_is_sent_when_an_upstream_is_free(
+    scene: Scene,
+) -> None:
+    await scene.fill_upstreams()
+    asked = asyncio.ensure_future(scene.ask("/unsafe/x", "POST"))
+    await asyncio.sleep(0.1)
+    assert_that(scene.arrivals(), matchers.Equals(0))
+    for each in scene.upstreams:
+        each.load = b"0,0,6,100"
+    answer = await asked
+    assert_that(answer.status_code, matchers.Equals(200))
+
+
 async def test_the_metrics_tell_what_happened(scene: Scene) -> None:
     await scene.ask()
     await scene.ask("/other/x")
