Let the tests' process take free ports itself

Finding: one run of tests/node hung for ten minutes in the fixture. The stack showed it waiting for a process that had ended: the ports were chosen before they were opened, and another connection had taken one.

--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -41,6 +41,8 @@
         prober: Checks upstreams.
         metrics: Answers the metrics scraper.
         link: Speaks to the other processes.
+        ports: Ports of the listeners, in the order in which they were opened:
+            callers, readiness, directory, metrics.
         connections: Callers' connections.
         started_ms: Unix time of the start.
         turn: Counts the messages sent to all.
@@ -75,6 +77,7 @@
             node, self.forwarder, self.follower, self.prober, store
         )
         self.link = fleet_link.PeerLink(self.hear, self.neighbours)
+        self.ports: list[int] = []
         self.connections = hop_server.Connections()
         self.front_connections = hop_server.Connections()
         self.started_ms = node.clock.wall_ms()
@@ -118,37 +121,31 @@
 
     async def listen(self) -> None:
         """Opens the listeners."""
-        node = self.node
-        settings = node.settings
-        await hop_server.listen(
-            lambda: hop_server.CallerConnection(
-                self.forwarder, node.clock, self.connections
-            ),
-            settings.front.host,
-            settings.front.port,
-        )
-        front = node_front.Front(node, self.dialect)
-        for address in (settings.readiness, settings.directory):
-            if address is None:
-                continue
-            await self.listen_for(front, address)
-
-        await self.listen_for(self.metrics, settings.metrics)
-
-    async def listen_for(
+        settings = self.node.settings
+        front = node_front.Front(self.node, self.dialect)
+        await self.listen_on(settings.front, self.forwarder, self.connections)
+        for address, handler in (
+            (settings.readiness, front),
+            (settings.directory, front),
+            (settings.metrics, self.metrics),
+        ):
+            if address is not None:
+                await self.listen_on(address, handler, self.front_connections)
+
+    async def listen_on(
         self,
-        handler: hop_server.RequestHandler,
         address: node_settings.Address,
+        handler: hop_server.RequestHandler,
+        connections: hop_server.Connections,
     ) -> None:
-        """Opens a listener that isn't for callers' requests."""
+        """Opens a listener; port 0 takes a free one."""
         clock = self.node.clock
-        await hop_server.listen(
-            lambda: hop_server.CallerConnection(
-                handler, clock, self.front_connections
-            ),
+        server = await hop_server.listen(
+            lambda: hop_server.CallerConnection(handler, clock, connections),
             address.host,
             address.port,
         )
+        self.ports.append(server.sockets[0].getsockname()[1])
 
     # Tasks
 
