--- a/src/lovageyoke/fleet/follower.py
+++ b/src/lovageyoke/fleet/follower.py
@@ -15,10 +15,9 @@
 import random
 import zlib
 
-import attrs
-
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import exceptions
+from lovageyoke.fleet import layout as fleet_layout
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
 from lovageyoke.fleet import registry as fleet_registry
@@ -42,25 +41,6 @@
 NEVER_MS = 600_000
 
 
-@attrs.frozen
-class Layout:
-    """Where the store keeps what, and how it is read.
-
-    Attributes:
-        upstream_prefix: Start of the keys of upstreams' entries.
-        configuration_key: Key of the configuration.
-        watch_prefix: Start of all keys that are watched.
-        decode_upstream: Returns the upstream of a key and value.
-        decode_configuration: Returns the configuration of a value.
-    """
-
-    upstream_prefix: str
-    configuration_key: str
-    watch_prefix: str
-    decode_upstream: Callable[[str, bytes], model.Upstream]
-    decode_configuration: Callable[[bytes], model.Configuration]
-
-
 class Follower:
     """Follows the store, alone or through the other processes.
 
@@ -93,7 +73,7 @@
         self,
         *,
         store: revisions.RevisionStore,
-        layout: Layout,
+        layout: fleet_layout.Layout,
         members: fleet_members.Members,
         clock: clock_api.Clock,
         log: events.EventLog,
--- a/src/lovageyoke/hop/attempt.py
+++ b/src/lovageyoke/hop/attempt.py
@@ -9,6 +9,7 @@
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
+from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import connection as hop_connection
 from lovageyoke.hop import messages
 from lovageyoke.hop import names
@@ -109,7 +110,7 @@
         sending: Sending,
         upstream: model.Upstream,
         delivery: Delivery,
-        sink: hop_connection.BodySink | None,
+        sink: hop_api.BodySink | None,
     ) -> messages.Response:
         """Sends a request and waits for its response.
 
--- a/src/lovageyoke/hop/connection.py
+++ b/src/lovageyoke/hop/connection.py
@@ -12,6 +12,7 @@
 
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
+from lovageyoke.hop import api
 from lovageyoke.hop import messages
 
 STREAM_ABOVE_BYTES = 1_048_576  # Larger answers aren't held until complete.
@@ -22,26 +23,6 @@
 Kind = kinds.ErrorKind
 
 
-class BodySink:
-    """Takes a response body while it comes.
-
-    ``start`` gets the response without its body, ``data`` each piece, and
-    ``pause`` tells whether the receiver is slow.
-    """
-
-    def start(self, response: messages.Response) -> None:
-        """Begins the answer."""
-        raise NotImplementedError
-
-    def data(self, piece: bytes) -> None:
-        """Passes on a piece of the body."""
-        raise NotImplementedError
-
-    async def drained(self) -> None:
-        """Waits until the receiver can take more."""
-        raise NotImplementedError
-
-
 @attrs.define
 class Exchange:
     """The exchange that a connection is busy with.
@@ -56,7 +37,7 @@
 
     request_id: bytes | None
     done: asyncio.Future[messages.Response]
-    sink: BodySink | None = None
+    sink: api.BodySink | None = None
     head_only: bool = False
 
 
@@ -202,7 +183,7 @@
         head: bytes,
         body: bytes,
         request_id: bytes | None,
-        sink: BodySink | None = None,
+        sink: api.BodySink | None = None,
         head_only: bool = False,
     ) -> asyncio.Future[messages.Response]:
         """Sends a request.
@@ -280,7 +261,7 @@
         names = {name for name, _ in self.headers}
         return not names & {b"content-length", b"transfer-encoding"}
 
-    def start_streaming(self, sink: BodySink) -> None:
+    def start_streaming(self, sink: api.BodySink) -> None:
         """Hands the body so far to the sink, and all that follows."""
         self.streaming = True
         sink.start(self.response(b""))
@@ -289,7 +270,7 @@
         self.pieces = []
         self.hold_for_receiver(sink)
 
-    def hold_for_receiver(self, sink: BodySink) -> None:
+    def hold_for_receiver(self, sink: api.BodySink) -> None:
         """Reads no more until the sink's receiver has room."""
         if self.transport is None:
             return
--- a/src/lovageyoke/hop/server.py
+++ b/src/lovageyoke/hop/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 import asyncio
 import collections
 from collections.abc import Callable
@@ -14,9 +13,8 @@
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import kinds
 from lovageyoke.hop import answers
-from lovageyoke.hop import connection as hop_connection
+from lovageyoke.hop import api
 from lovageyoke.hop import messages
-from lovageyoke.routing import model
 
 MAX_PIPELINED = 16  # Requests read ahead of the one that is answered.
 RESUME_BELOW_BYTES = 32_768
@@ -24,32 +22,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class RequestHandler(abc.ABC):
-    """Answers the requests of callers."""
-
-    @abc.abstractmethod
-    async def handle(
-        self, request: messages.Request, caller: CallerConnection
-    ) -> None:
-        """Answers one request by ``caller.answer`` or ``caller.start``."""
-
-    @abc.abstractmethod
-    def failed(self, request: messages.Request, error: Exception) -> None:
-        """Notes that answering a request failed for an unforeseen reason."""
-
-    @abc.abstractmethod
-    def limits(self) -> model.CallerLimits:
-        """Returns the bounds on callers that are in force."""
-
-    @abc.abstractmethod
-    def may_cancel(self, request: messages.Request) -> bool:
-        """Returns whether to give up a request whose caller has left."""
-
-    @abc.abstractmethod
-    def leaving(self) -> bool:
-        """Returns whether connections should end after their answer."""
-
-
 @attrs.define
 class Connections:
     """The open connections of one listener.
@@ -69,7 +41,7 @@
                 connection.close()
 
 
-class CallerConnection(asyncio.Protocol, hop_connection.BodySink):
+class CallerConnection(asyncio.Protocol, api.BodySink):
     """One connection of a caller.
 
     Attributes:
@@ -87,7 +59,7 @@
 
     def __init__(
         self,
-        handler: RequestHandler,
+        handler: api.RequestHandler,
         clock: clock_api.Clock,
         connections: Connections,
     ) -> None:
--- a/src/lovageyoke/node/assembly.py
+++ b/src/lovageyoke/node/assembly.py
@@ -8,7 +8,7 @@
 import random
 
 from lovageyoke.clock import system
-from lovageyoke.fleet import follower as fleet_follower
+from lovageyoke.fleet import layout as fleet_layout
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages as fleet_messages
 from lovageyoke.hop import attempt as hop_attempt
@@ -25,7 +25,7 @@
 from lovageyoke.platform import settings as platform_settings
 from lovageyoke.platform import store_client
 
-LAYOUT = fleet_follower.Layout(
+LAYOUT = fleet_layout.Layout(
     entries.UPSTREAM_PREFIX,
     entries.CONFIGURATION_KEY,
     "",
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -9,6 +9,7 @@
 from lovageyoke.errors import kinds
 from lovageyoke.errors import table
 from lovageyoke.hop import answers
+from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
 from lovageyoke.node import outcomes
@@ -46,7 +47,7 @@
     wait_ms: exposition.Histogram = attrs.field(factory=exposition.Histogram)
 
 
-class Forwarder(hop_server.RequestHandler):
+class Forwarder(hop_api.RequestHandler):
     """Forwards the requests of callers to upstreams.
 
     Attributes:
--- a/src/lovageyoke/node/front.py
+++ b/src/lovageyoke/node/front.py
@@ -8,6 +8,7 @@
 
 from lovageyoke.fleet import directory as fleet_directory
 from lovageyoke.fleet import messages as fleet_messages
+from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
 from lovageyoke.node import state as node_state
@@ -38,7 +39,7 @@
     node_prefix: str
 
 
-class Front(hop_server.RequestHandler):
+class Front(hop_api.RequestHandler):
     """Answers what callers ask before they send requests.
 
     Attributes:
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lovageyoke.fleet import follower as fleet_follower
+from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
 from lovageyoke.node import forwarder as node_forwarder
@@ -16,7 +17,7 @@
 TEXT = (b"content-type", b"text/plain; version=0.0.4")
 
 
-class MetricsPage(hop_server.RequestHandler):
+class MetricsPage(hop_api.RequestHandler):
     """Answers the scraper.
 
     Attributes:
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -7,9 +7,11 @@
 import signal
 
 from lovageyoke.fleet import follower as fleet_follower
+from lovageyoke.fleet import layout as fleet_layout
 from lovageyoke.fleet import link as fleet_link
 from lovageyoke.fleet import messages as fleet_messages
 from lovageyoke.fleet import registration as fleet_registration
+from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import server as hop_server
 from lovageyoke.node import forwarder as node_forwarder
 from lovageyoke.node import front as node_front
@@ -53,7 +55,7 @@
         self,
         node: node_state.NodeState,
         store: revisions.RevisionStore,
-        layout: fleet_follower.Layout,
+        layout: fleet_layout.Layout,
         dialect: node_front.Dialect,
         decode_deadline: node_state.DecodeDeadline,
     ) -> None:
@@ -135,7 +137,7 @@
     async def listen_on(
         self,
         address: node_settings.Address,
-        handler: hop_server.RequestHandler,
+        handler: hop_api.RequestHandler,
         connections: hop_server.Connections,
     ) -> None:
         """Opens a listener; port 0 takes a free one."""
--- a/tests/fakes/handlers.py
+++ b/tests/fakes/handlers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from lovageyoke.clock import system
+from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
 from lovageyoke.routing import model
@@ -14,7 +15,7 @@
 Respond = Callable[[messages.Request], Awaitable[messages.Response | None]]
 
 
-class Handler(hop_server.RequestHandler):
+class Handler(hop_api.RequestHandler):
     """Answers by a function; None breaks the connection."""
 
     def __init__(
@@ -58,7 +59,7 @@
 class Listener:
     """A listening server and its port."""
 
-    def __init__(self, handler: hop_server.RequestHandler) -> None:
+    def __init__(self, handler: hop_api.RequestHandler) -> None:
         self.handler = handler
         self.connections = hop_server.Connections()
         self.server: asyncio.Server | None = None
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -13,6 +13,7 @@
 from lovageyoke.clock import manual
 from lovageyoke.errors import exceptions
 from lovageyoke.fleet import follower as fleet_follower
+from lovageyoke.fleet import layout as fleet_layout
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
 from lovageyoke.observe import events
@@ -36,7 +37,7 @@
     return model.Configuration(int(value), (), {}, model.CallerLimits())
 
 
-LAYOUT = fleet_follower.Layout(
+LAYOUT = fleet_layout.Layout(
     "up/", "config", "", decode_upstream, decode_configuration
 )
 
