--- a/tests/hop/test_connection.py
+++ b/tests/hop/test_connection.py
@@ -121,8 +121,8 @@
     upstream.script = [response()]
     upstream.then = lambda writer: writer.write(response(b"late"))
     await exchange(connection)
-    await asyncio.sleep(0.05)
-    assert_that(connection.usable(), matchers.Equals(False))
+    while connection.usable():  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
 
 
 async def test_a_truncated_response_is_an_error(
--- a/tests/hop/test_server.py
+++ b/tests/hop/test_server.py
@@ -44,6 +44,10 @@
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection("127.0.0.1", self.listener.port)
 
+    async def until_asked(self) -> None:
+        while not self.handler.requests:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
     async def talk(self, data: bytes) -> bytes:
         reader, writer = await self.open()
         writer.write(data)
@@ -124,19 +128,20 @@
     scene.gate.clear()
     _, writer = await scene.open()
     writer.write(get())
-    await asyncio.sleep(0.05)
+    await scene.until_asked()
     writer.close()
-    await asyncio.sleep(0.05)
-    assert_that(scene.handler.cancelled, matchers.Equals(1))
+    while scene.handler.cancelled == 0:  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
 
 
 async def test_a_request_that_may_have_run_goes_on(scene: Scene) -> None:
     scene.gate.clear()
     _, writer = await scene.open()
     writer.write(b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
-    await asyncio.sleep(0.05)
+    await scene.until_asked()
     writer.close()
-    await asyncio.sleep(0.05)
+    while scene.listener.connections.open:  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
     scene.gate.set()
     await asyncio.sleep(0.05)
     assert_that(scene.handler.cancelled, matchers.Equals(0))
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Iterator
 import json
 import os
@@ -20,6 +21,7 @@
 from lovageyoke.node import assembly
 from lovageyoke.node import process as node_process
 from lovageyoke.node import settings as node_settings
+from lovageyoke.node import state as node_state
 
 pytestmark = pytest.mark.anyio
 
@@ -104,14 +106,28 @@
             while (await client.get(ready)).status_code != 200:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
+    @property
+    def node(self) -> node_state.NodeState:
+        assert self.process is not None
+        return self.process.node
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Waits for what the process tells nobody, such as its beliefs."""
+        while not holds():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
     async def fill_upstreams(self) -> None:
         for each in self.upstreams:
             each.load = b"6,9,6,100"
-        assert self.process is not None
-        views = self.process.node.loads.by_id
-        # The process tells nobody when a health check was answered.
-        while min(each.load() for each in views.values()) < 15:  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
+        views = self.node.loads.by_id.values()
+        await self.until(lambda: min(each.load() for each in views) >= 15)
+
+    def version(self) -> int:
+        configuration = self.node.configuration
+        return configuration.version if configuration else 0
+
+    def queued(self) -> int:
+        return len(self.node.queue("maps").queued)
 
     @property
     def ready_url(self) -> str:
@@ -260,7 +276,7 @@
     scene.store.put("op/config", configuration(4, timeout="300ms"))
     for each in scene.upstreams:
         each.always = "hang"
-    await asyncio.sleep(0.1)
+    await scene.until(lambda: scene.version() == 4)
     answer = await scene.ask("/unsafe/x", "POST")
     assert_that(answer.status_code, matchers.Equals(504))
 
@@ -273,7 +289,7 @@
 async def test_a_draining_upstream_gets_no_new_requests(scene: Scene) -> None:
     leaving = scene.upstreams[0]
     scene.store.put("servers/i-0", leaving.entry("draining"))
-    await asyncio.sleep(0.1)
+    await scene.until(lambda: scene.node.loads.by_id["i-0"].upstream.draining)
     for index in range(10):
         await scene.ask(identity=f"d{index}")
     assert_that(leaving.arrivals, matchers.Equals({}))
@@ -294,9 +310,9 @@
 ) -> None:
     await scene.fill_upstreams()
     asked = asyncio.ensure_future(scene.ask("/unsafe/x", "POST"))
-    await asyncio.sleep(0.1)
+    await scene.until(lambda: scene.queued() == 1)
     asked.cancel()
-    await asyncio.sleep(0.1)
+    await scene.until(lambda: scene.queued() == 0)
     for each in scene.upstreams:
         each.load = b"0,0,6,100"
     await asyncio.sleep(0.3)
@@ -308,7 +324,7 @@
 ) -> None:
     await scene.fill_upstreams()
     asked = asyncio.ensure_future(scene.ask("/unsafe/x", "POST"))
-    await asyncio.sleep(0.1)
+    await scene.until(lambda: scene.queued() == 1)
     assert_that(scene.arrivals(), matchers.Equals(0))
     for each in scene.upstreams:
         each.load = b"0,0,6,100"
@@ -338,7 +354,7 @@
     for each in scene.upstreams:
         each.always = "slow"
     asked = asyncio.ensure_future(scene.ask())
-    await asyncio.sleep(0.05)
+    await scene.until(lambda: scene.arrivals() == 1)
     os.kill(os.getpid(), signal.SIGTERM)
     answer = await asked
     assert_that(answer.status_code, matchers.Equals(200))
