--- a/src/lovageyoke/caller/headers.py
+++ b/src/lovageyoke/caller/headers.py
@@ -4,33 +4,21 @@
 
 from collections.abc import Iterable
 
+from lovageyoke.hop import messages
 from lovageyoke.retry import marks as call_marks
 from lovageyoke.transport import api
 from lovageyoke.transport import load_header
 
 OUTCOME_HEADER = b"lovageyoke-outcome"
 
-_HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-_REQUEST_DROPPED = _HOP_BY_HOP | {
+_REQUEST_DROPPED = messages.HOP_BY_HOP | {
     b"content-length",
     b"expect",
     b"forwarded",
     b"http2-settings",
     *call_marks.HEADERS,
 }
-_RESPONSE_DROPPED = _HOP_BY_HOP | {
+_RESPONSE_DROPPED = messages.HOP_BY_HOP | {
     load_header.LOAD_HEADER,
     load_header.SHED_HEADER,
     OUTCOME_HEADER,
--- a/src/lovageyoke/node/front.py
+++ b/src/lovageyoke/node/front.py
@@ -8,11 +8,10 @@
 
 from lovageyoke.fleet import directory as fleet_directory
 from lovageyoke.fleet import messages as fleet_messages
-from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
+from lovageyoke.node import internal
 from lovageyoke.node import state as node_state
-from lovageyoke.routing import model
 
 
 @attrs.frozen
@@ -39,7 +38,7 @@
     node_prefix: str
 
 
-class Front(hop_api.RequestHandler):
+class Front(internal.InternalHandler):
     """Answers what callers ask before they send requests.
 
     Attributes:
@@ -48,7 +47,7 @@
     """
 
     def __init__(self, node: node_state.NodeState, dialect: Dialect) -> None:
-        self.node = node
+        super().__init__(node)
         self.dialect = dialect
 
     async def handle(
@@ -80,20 +79,3 @@
             self.node.settings.bounds.lifetime_most_ms,
         )
         return self.dialect.encode_addresses(addresses, lifetime_ms)
-
-    def failed(self, request: messages.Request, error: Exception) -> None:
-        """Logs a fault of this process."""
-        self.node.log.event("fault", path=request.path, error=repr(error))
-
-    def limits(self) -> model.CallerLimits:
-        """Returns the bounds on callers."""
-        return model.CallerLimits()
-
-    def may_cancel(self, request: messages.Request) -> bool:
-        """Returns whether to give up a request whose caller has left."""
-        del request
-        return True
-
-    def leaving(self) -> bool:
-        """Returns whether connections should end after their answer."""
-        return self.node.leaving
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -3,21 +3,20 @@
 from __future__ import annotations
 
 from lovageyoke.fleet import follower as fleet_follower
-from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
 from lovageyoke.node import forwarder as node_forwarder
+from lovageyoke.node import internal
 from lovageyoke.node import prober as node_prober
 from lovageyoke.node import state as node_state
 from lovageyoke.observe import exposition
-from lovageyoke.routing import model
 from lovageyoke.store import revisions
 
 PATH = "/metrics"
 TEXT = (b"content-type", b"text/plain; version=0.0.4")
 
 
-class MetricsPage(hop_api.RequestHandler):
+class MetricsPage(internal.InternalHandler):
     """Answers the scraper.
 
     Attributes:
@@ -36,7 +35,7 @@
         prober: node_prober.Prober,
         store: revisions.RevisionStore,
     ) -> None:
-        self.node = node
+        super().__init__(node)
         self.forwarder = forwarder
         self.follower = follower
         self.prober = prober
@@ -117,20 +116,3 @@
             *render("wait_ms", self.forwarder.counters.wait_ms),
             *render("loop_lag_ms", self.node.loop_lag_ms),
         ]
-
-    def failed(self, request: messages.Request, error: Exception) -> None:
-        """Logs a fault of this process."""
-        self.node.log.event("fault", path=request.path, error=repr(error))
-
-    def limits(self) -> model.CallerLimits:
-        """Returns the bounds on scrapers."""
-        return model.CallerLimits()
-
-    def may_cancel(self, request: messages.Request) -> bool:
-        """Returns whether to give up a scrape whose caller has left."""
-        del request
-        return True
-
-    def leaving(self) -> bool:
-        """Returns whether connections should end after their answer."""
-        return self.node.leaving
