Never mix a hedge's answer into one that the caller already gets

Cause, found by reading: an answer above 1 MB streams, and a hedge that was started before may end while it does; its whole answer would have followed the first bytes, or its failure ended the stream.

--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -272,6 +272,9 @@
         """Takes one finished attempt."""
         now_ms = self.node.clock.now_ms()
         error = attempt.task.exception()
+        if attempt.hedge and self.sink is not None and self.sink.streaming:
+            # The caller already gets another upstream's answer.
+            return None
         if error is not None:
             if not isinstance(error, exceptions.UpstreamError):
                 raise error
--- /dev/null
+++ b/tests/node/test_race.py
@@ -0,0 +1,112 @@
+"""Results of attempts that must not change what the caller already gets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+import os
+
+import pytest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from lovageyoke.errors import exceptions
+from lovageyoke.hop import attempt as hop_attempt
+from lovageyoke.hop import messages
+from lovageyoke.node import assembly
+from lovageyoke.node import attempts
+from lovageyoke.node import race as node_race
+from lovageyoke.node import settings as node_settings
+from lovageyoke.retry import progress
+from lovageyoke.routing import load_view
+from lovageyoke.routing import model
+
+pytestmark = pytest.mark.anyio
+
+ANY = node_settings.Address("127.0.0.1", 0)
+ROUTE = model.Route(
+    "r",
+    "h",
+    "/",
+    model.RepeatRule.IDEMPOTENT,
+    (model.Target("maps", 1.0),),
+    1_000.0,
+    300.0,
+    2,
+    0,
+)
+UPSTREAM = model.Upstream("u1", 1, "maps", "127.0.0.1", 80, "a", 6)
+
+
+class Caller:
+    """A caller that already gets an answer."""
+
+    streaming = True
+
+
+@pytest.fixture
+def race() -> Iterator[node_race.Race]:
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    settings = node_settings.NodeSettings(
+        "n1",
+        "a",
+        "r",
+        ANY,
+        None,
+        None,
+        ANY,
+        ANY,
+        ANY,
+        1.0,
+        node_settings.Bounds(),
+    )
+    node = assembly.build(settings, descriptor).node
+    request = messages.Request(b"GET", b"/x", [(b"host", b"h")])
+    sending = node.client.prepare(request, True, node.clock.now_ms() + 1_000)
+    yield node_race.Race(node, sending, ROUTE, "maps", Caller())  # type: ignore[arg-type]
+    os.close(descriptor)
+
+
+async def finished(
+    hedge: bool, error: exceptions.UpstreamError | None
+) -> attempts.Attempt:
+    async def send() -> messages.Response:
+        if error is not None:
+            raise error
+        return messages.Response(200, b"OK", [], b"other")
+
+    task = asyncio.ensure_future(send())
+    await asyncio.wait([task])
+    return attempts.Attempt(
+        load_view.UpstreamView(UPSTREAM, 0.0),
+        task,
+        hop_attempt.Delivery(sent=True),
+        progress.Progress(100.0, 0.0, 0.0, 0.0),
+        hedge,
+        crowded=False,
+    )
+
+
+async def test_a_hedge_does_not_mix_with_an_answer_that_has_begun(
+    race: node_race.Race,
+) -> None:
+    attempt = await finished(hedge=True, error=None)
+    assert_that(race.take_result(attempt), matchers.Is(None))
+
+
+async def test_a_failed_hedge_does_not_break_an_answer_that_has_begun(
+    race: node_race.Race,
+) -> None:
+    error = exceptions.UpstreamError("reset")
+    attempt = await finished(hedge=True, error=error)
+    assert_that(race.take_result(attempt), matchers.Is(None))
+
+
+async def test_a_cut_answer_that_has_begun_is_not_completed_elsewhere(
+    race: node_race.Race,
+) -> None:
+    error = exceptions.UpstreamError("reset")
+    attempt = await finished(hedge=False, error=error)
+    outcome = race.take_result(attempt)
+    assert outcome is not None
+    assert_that(outcome.response, matchers.Is(None))
