--- a/src/lovageyoke/fleet/messages.py
+++ b/src/lovageyoke/fleet/messages.py
@@ -14,7 +14,6 @@
 from lovageyoke.errors import exceptions
 
 FORMAT = 1
-MAX_DATAGRAM_BYTES = 8_000
 _MAX_AGE_MS = 600_000
 _HEARTBEAT = 1
 _INTRODUCTION = 2
--- a/src/lovageyoke/hop/attempt.py
+++ b/src/lovageyoke/hop/attempt.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import attrs
 
 from lovageyoke.clock import api as clock_api
@@ -49,11 +47,9 @@
 
     Attributes:
         sent: Whether any byte of it may have reached the upstream.
-        fresh_connection: Whether its connection carried nothing before.
     """
 
     sent: bool = False
-    fresh_connection: bool = True
 
 
 class UpstreamClient:
@@ -127,7 +123,7 @@
             UpstreamError: No response came; ``delivery`` tells whether the
                 request may have run.
         """
-        connection = await self.connection(sending, upstream, delivery)
+        connection = await self.connection(sending, upstream)
         left_ms = sending.deadline_ms - self.clock.now_ms()
         if left_ms < 1.0:
             connection.close()
@@ -166,14 +162,12 @@
         self,
         sending: Sending,
         upstream: model.Upstream,
-        delivery: Delivery,
     ) -> hop_connection.ClientConnection:
         """Returns an idle connection or a new one."""
         now_ms = self.clock.now_ms()
         fresh_only = not sending.repeatable
         connection = self.pool.take(upstream, now_ms, fresh_only)
         if connection is not None:
-            delivery.fresh_connection = False
             return connection
         left_ms = sending.deadline_ms - now_ms
         self.pool.opened += 1
@@ -193,11 +187,3 @@
         if response.status >= messages.FIRST_SERVER_ERROR_STATUS:
             return Kind.UPSTREAM_FAILED
         return None
-
-
-async def settled(tasks: set[asyncio.Task[None]]) -> None:
-    """Cancels tasks and waits until they have ended."""
-    for task in tasks:
-        task.cancel()
-    if tasks:
-        await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/lovageyoke/node/prober.py
+++ b/src/lovageyoke/node/prober.py
@@ -167,8 +167,6 @@
         if unhealthy:
             view.record_outcome(True, now_ms)
             self.node.note_failure(view)
-        else:
-            view.healthy_ms = now_ms
         report = self.node.decode_load(response.header(names.load))
         if report is not None:
             self.node.take_report(view, report, now_ms)
--- a/src/lovageyoke/platform/entries.py
+++ b/src/lovageyoke/platform/entries.py
@@ -11,7 +11,6 @@
 
 UPSTREAM_PREFIX = "servers/"
 CONFIGURATION_KEY = "op/config"
-NODE_PREFIX = "lovageyoke/nodes/"
 
 _STATES = {"ready": False, "draining": True}
 _REPEAT_RULES = {
--- a/src/lovageyoke/routing/load_view.py
+++ b/src/lovageyoke/routing/load_view.py
@@ -53,7 +53,6 @@
         failure_rate: Share of recent exchanges that failed, aged.
         failure_ms: When ``failure_rate`` was last changed.
         unhealthy: Whether its health check says that it is unwell.
-        healthy_ms: When its health check last passed.
         told_pace: Pace that the other processes were told last.
         silent_probes: Health checks in a row without an answer.
     """
@@ -67,7 +66,6 @@
     failure_rate: float = 0.0
     failure_ms: float = 0.0
     unhealthy: bool = False
-    healthy_ms: float = -math.inf
     told_pace: float = 1.0
     silent_probes: int = 0
 
