--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -107,6 +107,11 @@
                 return since_ms
         return None
 
+    def behind_ms(self, now_ms: float) -> float:
+        """Returns for how long this replica has been behind, 0 if it isn't."""
+        since_ms = self.behind_since_ms(now_ms)
+        return 0.0 if since_ms is None else now_ms - since_ms
+
     def is_behind(self, heartbeat: messages.Heartbeat) -> bool:
         """Returns whether the sender of a heartbeat has newer state."""
         version = self.configuration.version if self.configuration else 0
@@ -140,13 +145,15 @@
             stale: Whether the listing may be seconds old.
         """
         changed = self.registry.apply_listing(listing, now_ms)
-        self.finish_loading(listing.revision, changed, "listed")
+        self.finish_loading(listing.revision, changed, "listed", now_ms)
         if not stale:
             self.fresh_ms = now_ms
 
-    def finish_loading(self, revision: int, changed: bool, source: str) -> None:
+    def finish_loading(
+        self, revision: int, changed: bool, source: str, now_ms: float
+    ) -> None:
         """Records that all entries were loaded at a revision."""
-        self.gap_ms = None
+        self.end_gap(source, now_ms)
         self.outdated_ms = None
         self.revision = max(self.revision, revision)
         self.recent.reset(self.revision)
@@ -175,6 +182,18 @@
         entry = messages.EntryChange(change.key, change.revision, change.value)
         return self.apply_change(entry, now_ms)
 
+    def end_gap(self, source: str, now_ms: float) -> None:
+        """Records that no changes are missing any more."""
+        if self.gap_ms is None:
+            return
+        self.log.event(
+            "changes-complete",
+            source=source,
+            revision=self.revision,
+            after_ms=round(now_ms - self.gap_ms),
+        )
+        self.gap_ms = None
+
     # From other processes
 
     def apply_heartbeat(
@@ -189,6 +208,13 @@
         if heartbeat.since_revision > self.revision:
             if self.gap_ms is None:
                 self.gap_ms = now_ms
+                self.log.event(
+                    "changes-missed",
+                    revision=self.revision,
+                    since=heartbeat.since_revision,
+                    peer=heartbeat.sender.peer.node_id,
+                    peer_revision=heartbeat.revision,
+                )
             return False
         before = self.revision
         changed = False
@@ -197,7 +223,7 @@
                 changed |= self.apply_change(change, now_ms)
         if heartbeat.revision >= self.revision:
             self.revision = heartbeat.revision
-            self.gap_ms = None
+            self.end_gap(heartbeat.sender.peer.node_id, now_ms)
             fresh_ms = now_ms - heartbeat.fresh_age_ms
             self.fresh_ms = max(self.fresh_ms, fresh_ms)
         if changed:
@@ -231,7 +257,7 @@
         if whole is None or whole.revision < self.revision:
             return
         changed = self.registry.apply_snapshot(whole, now_ms)
-        self.finish_loading(whole.revision, changed, "snapshot")
+        self.finish_loading(whole.revision, changed, "snapshot", now_ms)
         fresh_ms = now_ms - whole.fresh_age_ms
         self.fresh_ms = max(self.fresh_ms, fresh_ms)
 
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -108,6 +108,7 @@
             "configuration_version": self.forwarder.version(),
             "store_revision": self.follower.replica.revision,
             "store_age_ms": self.follower.replica.staleness_ms(now_ms),
+            "store_behind_ms": self.follower.replica.behind_ms(now_ms),
             "store_ok": self.follower.store_ok,
             "peers_live": len(self.node.members.live(now_ms)),
             "upstreams_known": len(self.node.loads.by_id),
