Remember missed changes until they have arrived

Cause: a process notices a gap when a heartbeat's changes begin after the revision that it knows. Any heartbeat of a peer at its own revision ended the gap, though that peer had missed the same changes. A collector hears 37 to 66 processes, each several times a second, so its gap never became old enough, and all processes of its failure domain stayed where it was. A heartbeat carries 2,000 bytes of changes: a gap opens whenever more change within 100 ms, as when upstreams register at a start, or when ten say together that they leave.

Change: the newest revision that is known to be missing is kept, and only changes up to it end the gap.

Tests, all failing before: a peer at the same revision doesn't end the gap; a part of the changes doesn't; 140 upstreams that drain at once reach 14, 120 and 311 processes within 1.5 s.

--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -47,8 +47,9 @@
         listed: Whether all upstreams have been loaded since the start.
         recent: The latest changes.
         assembler: Received parts of an incomplete snapshot.
-        gap_ms: When a heartbeat first revealed missed changes; None if there
-            is no gap.
+        missing_revision: Changes up to this revision are known to exist; the
+            newest of them are missing while it exceeds ``revision``.
+        gap_ms: Since when changes are missing; None if there is no gap.
         outdated_ms: When a peer was first seen with a newer configuration;
             None if there is none.
         newest_version: Newest configuration version of any peer.
@@ -79,6 +80,7 @@
         self.listed = False
         self.recent = changes.RecentChanges()
         self.assembler = snapshot.SnapshotAssembler()
+        self.missing_revision = 0
         self.gap_ms: float | None = None
         self.outdated_ms: float | None = None
         self.newest_version = 0
@@ -153,9 +155,13 @@
         self, revision: int, changed: bool, source: str, now_ms: float
     ) -> None:
         """Records that all entries were loaded at a revision."""
-        self.end_gap(source, now_ms)
         self.outdated_ms = None
+        advanced = revision > self.revision
         self.revision = max(self.revision, revision)
+        self.close_gap(source, now_ms)
+        if advanced and self.gap_ms is not None:
+            # The source answers, so what is still missing is a new gap.
+            self.gap_ms = now_ms
         self.recent.reset(self.revision)
         if changed or not self.listed:
             self.listed = True
@@ -167,6 +173,7 @@
         for change in found.events:
             changed |= self.apply_event(change, now_ms)
         self.revision = max(self.revision, found.revision)
+        self.close_gap("watched", now_ms)
         if changed:
             self.upstreams_changed("watched")
 
@@ -182,9 +189,25 @@
         entry = messages.EntryChange(change.key, change.revision, change.value)
         return self.apply_change(entry, now_ms)
 
-    def end_gap(self, source: str, now_ms: float) -> None:
-        """Records that no changes are missing any more."""
-        if self.gap_ms is None:
+    def open_gap(self, heartbeat: messages.Heartbeat, now_ms: float) -> None:
+        """Records that changes before those of a heartbeat are missing."""
+        self.missing_revision = max(
+            self.missing_revision, heartbeat.since_revision
+        )
+        if self.gap_ms is not None:
+            return
+        self.gap_ms = now_ms
+        self.log.event(
+            "changes-missed",
+            revision=self.revision,
+            since=heartbeat.since_revision,
+            peer=heartbeat.sender.peer.node_id,
+            peer_revision=heartbeat.revision,
+        )
+
+    def close_gap(self, source: str, now_ms: float) -> None:
+        """Records that changes arrived; ends the gap if none are missing."""
+        if self.gap_ms is None or self.revision < self.missing_revision:
             return
         self.log.event(
             "changes-complete",
@@ -206,15 +229,7 @@
         if not self.listed or heartbeat.revision == 0:
             return False
         if heartbeat.since_revision > self.revision:
-            if self.gap_ms is None:
-                self.gap_ms = now_ms
-                self.log.event(
-                    "changes-missed",
-                    revision=self.revision,
-                    since=heartbeat.since_revision,
-                    peer=heartbeat.sender.peer.node_id,
-                    peer_revision=heartbeat.revision,
-                )
+            self.open_gap(heartbeat, now_ms)
             return False
         before = self.revision
         changed = False
@@ -223,7 +238,7 @@
                 changed |= self.apply_change(change, now_ms)
         if heartbeat.revision >= self.revision:
             self.revision = heartbeat.revision
-            self.end_gap(heartbeat.sender.peer.node_id, now_ms)
+            self.close_gap(heartbeat.sender.peer.node_id, now_ms)
             fresh_ms = now_ms - heartbeat.fresh_age_ms
             self.fresh_ms = max(self.fresh_ms, fresh_ms)
         if changed:
--- a/tests/fleet/scenarios.py
+++ b/tests/fleet/scenarios.py
@@ -26,11 +26,16 @@
 LARGE_PERIOD_MS = 200.0  # Requests take about 1 s in large deployments.
 
 
-def fleet_of(domains: list[int], **options: object) -> fleet_fake.Fleet:
+def fleet_of(
+    domains: list[int],
+    *,
+    upstreams: list[str] = UPSTREAMS,
+    **options: object,
+) -> fleet_fake.Fleet:
     if domains == LARGE:
         options.setdefault("period_ms", LARGE_PERIOD_MS)
     made = fleet_fake.Fleet(conftest.LAYOUT, domains, **options)  # type: ignore[arg-type]
-    made.populate(UPSTREAMS)
+    made.populate(upstreams)
     made.run(2_000.0)
     return made
 
--- /dev/null
+++ b/tests/fleet/test_missed_changes.py
@@ -0,0 +1,86 @@
+"""Changes that a heartbeat does not carry reach every process."""
+
+from __future__ import annotations
+
+import pytest
+from tests.fleet import conftest
+from tests.fleet import scenarios
+from testtools import matchers
+from testtools.assertions import assert_that
+
+from fakes import fleet as fleet_fake
+from fakes import manual_clock
+from lovageyoke.fleet import changes
+from lovageyoke.fleet import replica as fleet_replica
+from lovageyoke.store import revisions
+
+MANY = [f"u{index:04}" for index in range(140)]
+
+
+def drain_all(fleet: fleet_fake.Fleet, watcher: fleet_fake.Process) -> None:
+    """Drains all upstreams at once, too many for one heartbeat."""
+    revision = max(each.replica.revision for each in fleet.running())
+    events = tuple(
+        revisions.Change(f"up/{name}", revision + 1 + index, b"draining")
+        for index, name in enumerate(MANY)
+    )
+    size = sum(len(each.key) + len(each.value or b"") for each in events)
+    assert_that(size, matchers.GreaterThan(changes.MAX_CHANGES_BYTES))
+    fleet.deliver_changes(watcher, *events)
+
+
+async def test_a_peer_that_missed_the_same_change_does_not_hide_the_gap(
+    harness: conftest.FollowerHarness,
+    heartbeat_of: conftest.HeartbeatOf,
+    clock: manual_clock.ManualClock,
+) -> None:
+    await harness.start_alone()
+    replica = harness.replica
+    known = replica.revision
+    newer = heartbeat_of("n2", revision=known + 9, since_revision=known + 4)
+    replica.apply_heartbeat(newer, clock.now_ms())
+    gap_ms = clock.now_ms()
+    clock.advance(fleet_replica.READ_GAP_MS)
+    same = heartbeat_of("n3", revision=known, since_revision=known)
+    replica.apply_heartbeat(same, clock.now_ms())
+    behind_ms = replica.behind_since_ms(clock.now_ms())
+    assert_that(behind_ms, matchers.Equals(gap_ms))
+
+
+async def test_a_gap_ends_with_the_changes_up_to_it(
+    harness: conftest.FollowerHarness,
+    heartbeat_of: conftest.HeartbeatOf,
+    clock: manual_clock.ManualClock,
+) -> None:
+    await harness.start_alone()
+    replica = harness.replica
+    known = replica.revision
+    newer = heartbeat_of("n2", revision=known + 9, since_revision=known + 4)
+    replica.apply_heartbeat(newer, clock.now_ms())
+    partial = heartbeat_of("n3", revision=known + 3, since_revision=known)
+    replica.apply_heartbeat(partial, clock.now_ms())
+    clock.advance(fleet_replica.READ_GAP_MS)
+    behind_ms = replica.behind_since_ms(clock.now_ms())
+    assert_that(behind_ms, matchers.Not(matchers.Is(None)))
+    replica.apply_heartbeat(
+        heartbeat_of("n3", revision=known + 4, since_revision=known + 3),
+        clock.now_ms(),
+    )
+    behind_ms = replica.behind_since_ms(clock.now_ms())
+    assert_that(behind_ms, matchers.Is(None))
+
+
+@pytest.mark.parametrize(
+    "domains",
+    [scenarios.SMALL, [40, 40, 40], scenarios.LARGE],
+    ids=["14", "120", "311"],
+)
+def test_changes_too_many_for_a_heartbeat_reach_all_within_the_bound(
+    domains: list[int],
+) -> None:
+    fleet = scenarios.fleet_of(domains, upstreams=MANY, loss=0.01)
+    drain_all(fleet, fleet.processes[-1])
+    fleet.run_until(
+        lambda: not any(each.upstreams for each in fleet.running()),
+        scenarios.CHANGE_BOUND_MS,
+    )
