--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -150,12 +150,12 @@
         self.finish_loading(listing.revision, changed, "listed", now_ms)
         if not stale:
             self.fresh_ms = now_ms
+            self.outdated_ms = None
 
     def finish_loading(
         self, revision: int, changed: bool, source: str, now_ms: float
     ) -> None:
         """Records that all entries were loaded at a revision."""
-        self.outdated_ms = None
         advanced = revision > self.revision
         self.revision = max(self.revision, revision)
         self.close_gap(source, now_ms)
--- a/tests/fleet/test_missed_changes.py
+++ b/tests/fleet/test_missed_changes.py
@@ -10,8 +10,11 @@
 
 from fakes import fleet as fleet_fake
 from fakes import manual_clock
+from fakes import revision_store
 from lovageyoke.fleet import changes
+from lovageyoke.fleet import follower as fleet_follower
 from lovageyoke.fleet import replica as fleet_replica
+from lovageyoke.fleet import snapshot
 from lovageyoke.store import revisions
 
 MANY = [f"u{index:04}" for index in range(140)]
@@ -70,6 +73,30 @@
     assert_that(behind_ms, matchers.Is(None))
 
 
+async def test_snapshots_do_not_hide_a_configuration_too_large_for_them(
+    store: revision_store.RevisionStore,
+    harness: conftest.FollowerHarness,
+    heartbeat_of: conftest.HeartbeatOf,
+    clock: manual_clock.ManualClock,
+) -> None:
+    await harness.start_alone()
+    harness.has_peer = True
+    replica = harness.replica
+    store.put("config", b"4")
+    (part,) = snapshot.pack(snapshot.Snapshot(store.revision, 0, ()))
+    newer = heartbeat_of(configuration_version=4)
+    replica.apply_heartbeat(newer, clock.now_ms())
+    assert_that(replica.behind_since_ms(clock.now_ms()), matchers.Is(None))
+    outdated_ms = clock.now_ms()
+    for _ in range(5):
+        clock.advance(fleet_follower.REQUEST_GAP_MS)
+        replica.add_snapshot_part(part, clock.now_ms())
+    behind_ms = replica.behind_since_ms(clock.now_ms())
+    assert_that(behind_ms, matchers.Equals(outdated_ms))
+    await harness.follower.step()
+    assert_that(harness.versions, matchers.Equals([3, 4]))
+
+
 @pytest.mark.parametrize(
     "domains",
     [scenarios.SMALL, [40, 40, 40], scenarios.LARGE],
