--- a/src/lovageyoke/fleet/codec.py
+++ b/src/lovageyoke/fleet/codec.py
@@ -67,6 +67,7 @@
     return _SNAPSHOT_PART, [
         message.revision,
         message.fresh_age_ms,
+        message.digest,
         message.part,
         message.parts,
         message.packed,
@@ -125,9 +126,14 @@
 
 
 def _snapshot_part(raw: list[Any]) -> messages.SnapshotPart:
-    revision, age_ms, part, parts, packed = raw
+    revision, age_ms, digest, part, parts, packed = raw
     return messages.SnapshotPart(
-        int(revision), _age(age_ms), int(part), int(parts), _raw(packed)
+        int(revision),
+        _age(age_ms),
+        int(digest),
+        int(part),
+        int(parts),
+        _raw(packed),
     )
 
 
--- a/src/lovageyoke/fleet/messages.py
+++ b/src/lovageyoke/fleet/messages.py
@@ -181,6 +181,8 @@
     Attributes:
         revision: The revision.
         fresh_age_ms: Time since the store confirmed the revision.
+        digest: Hash of the whole snapshot, below 2**32; parts of two snapshots
+            at the same revision may differ.
         part: Index of this part, from 0.
         parts: Number of parts.
         packed: Compressed entries; see ``snapshot.pack``.
@@ -188,6 +190,7 @@
 
     revision: int
     fresh_age_ms: int
+    digest: int
     part: int
     parts: int
     packed: bytes
--- a/src/lovageyoke/fleet/snapshot.py
+++ b/src/lovageyoke/fleet/snapshot.py
@@ -20,6 +20,7 @@
 
 PART_ENTRIES = 150  # A part stays well below the size of a datagram.
 MAX_PARTS = 400
+MAX_INCOMPLETE = 4  # Snapshots that are received at the same time.
 MAX_PART_BYTES = 1_000_000  # Decompressed.
 # Types of an upstream's fields, in their order.
 _UPSTREAM_FIELDS: tuple[Callable[[Any], Any], ...] = (
@@ -66,18 +67,25 @@
 
 
 def pack(snapshot: Snapshot) -> list[messages.SnapshotPart]:
-    """Splits a snapshot into messages."""
+    """Splits a snapshot into messages.
+
+    The entries are sorted, so that the parts of two processes with the same
+    entries are the same.
+    """
+    entries = sorted(snapshot.entries, key=lambda each: each.key)
     chunks = [
-        snapshot.entries[start : start + PART_ENTRIES]
-        for start in range(0, len(snapshot.entries), PART_ENTRIES)
-    ] or [()]
+        _pack_entries(entries[start : start + PART_ENTRIES])
+        for start in range(0, len(entries), PART_ENTRIES)
+    ] or [_pack_entries(())]
+    digest = zlib.crc32(b"".join(chunks))
     return [
         messages.SnapshotPart(
             snapshot.revision,
             snapshot.fresh_age_ms,
+            digest,
             number,
             len(chunks),
-            _pack_entries(chunk),
+            chunk,
         )
         for number, chunk in enumerate(chunks)
     ]
@@ -87,13 +95,13 @@
     """Reassembles a snapshot from its parts.
 
     Attributes:
-        revision: Revision of the received parts.
-        parts: The received parts by index.
+        revision: Newest revision of the received parts.
+        parts: The received parts of that revision by index, by digest.
     """
 
     def __init__(self) -> None:
         self.revision = -1
-        self.parts: dict[int, messages.SnapshotPart] = {}
+        self.parts: dict[int, dict[int, messages.SnapshotPart]] = {}
 
     def add(self, part: messages.SnapshotPart) -> Snapshot | None:
         """Adds a part; returns the snapshot once it is complete.
@@ -109,17 +117,24 @@
         if part.revision > self.revision:
             self.revision = part.revision
             self.parts = {}
-        self.parts[part.part] = part
-        if len(self.parts) < part.parts:
+        received = self.parts.setdefault(part.digest, {})
+        received[part.part] = part
+        if len(received) < part.parts:
+            self.drop_oldest()
             return None
-        complete, self.parts = self.parts, {}
+        self.parts = {}
         entries = [
             entry
-            for number in sorted(complete)
-            for entry in _unpack_entries(complete[number].packed)
+            for number in sorted(received)
+            for entry in _unpack_entries(received[number].packed)
         ]
         return Snapshot(part.revision, part.fresh_age_ms, tuple(entries))
 
+    def drop_oldest(self) -> None:
+        """Drops the oldest snapshots beyond ``MAX_INCOMPLETE``."""
+        while len(self.parts) > MAX_INCOMPLETE:
+            del self.parts[next(iter(self.parts))]
+
 
 def _pack_entries(entries: Sequence[Entry]) -> bytes:
     rows = [
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -67,7 +67,7 @@
         messages.Introduction((messages.MemberState(PEER, 4),)),
         messages.ConfigurationUpdate(3, 4, b"packed"),
         messages.SnapshotRequest(7),
-        messages.SnapshotPart(7, 20, 1, 3, b"packed"),
+        messages.SnapshotPart(7, 20, 2**32 - 1, 1, 3, b"packed"),
     ]
 )
 
--- a/tests/fleet/test_snapshot.py
+++ b/tests/fleet/test_snapshot.py
@@ -5,6 +5,7 @@
 import random
 import zlib
 
+import attrs
 import cbor2
 import pytest
 from testtools import matchers
@@ -20,7 +21,7 @@
     upstream = model.Upstream(
         f"i-{index}", index, "maps", "10.0.0.1", index, "a", 6, index % 2 == 0
     )
-    return snapshot.Entry(f"up/{index}", index + 1, upstream)
+    return snapshot.Entry(f"up/{index:04}", index + 1, upstream)
 
 
 def snapshot_of(entries: int, revision: int = 900) -> snapshot.Snapshot:
@@ -56,6 +57,38 @@
     assert_that(found.revision, matchers.Equals(901))
 
 
+def test_parts_of_two_senders_lose_no_entry() -> None:
+    whole = snapshot_of(360)
+    shuffled = list(whole.entries)
+    random.Random(1).shuffle(shuffled)  # noqa: S311
+    first = snapshot.pack(whole)
+    second = snapshot.pack(attrs.evolve(whole, entries=tuple(shuffled)))
+    assembler = snapshot.SnapshotAssembler()
+    found = [assembler.add(each) for each in (first[0], second[1], first[2])]
+    assert_that(found[-1], matchers.Equals(whole))
+
+
+def test_parts_of_different_snapshots_at_one_revision_are_not_mixed() -> None:
+    first = snapshot.pack(snapshot_of(301))
+    fewer = snapshot_of(301)
+    second = snapshot.pack(attrs.evolve(fewer, entries=fewer.entries[1:]))
+    assembler = snapshot.SnapshotAssembler()
+    for part in (first[0], second[1], first[2]):
+        assert_that(assembler.add(part), matchers.Is(None))
+    found = assembler.add(first[1])
+    assert found is not None
+    assert_that(found.entries, matchers.HasLength(301))
+
+
+def test_incomplete_snapshots_are_bounded() -> None:
+    assembler = snapshot.SnapshotAssembler()
+    for digest in range(100):
+        part = messages.SnapshotPart(3, 0, digest, 0, 2, b"")
+        assert_that(assembler.add(part), matchers.Is(None))
+    kept = matchers.HasLength(snapshot.MAX_INCOMPLETE)
+    assert_that(assembler.parts, kept)
+
+
 @pytest.mark.parametrize(
     "packed",
     [
@@ -67,13 +100,13 @@
     ],
 )
 def test_an_invalid_part_is_rejected(packed: bytes) -> None:
-    part = messages.SnapshotPart(3, 0, 0, 1, packed)
+    part = messages.SnapshotPart(3, 0, 0, 0, 1, packed)
     with pytest.raises(exceptions.DecodeError):
         snapshot.SnapshotAssembler().add(part)
 
 
 @pytest.mark.parametrize(("part", "parts"), [(-1, 1), (1, 1), (0, 10**9)])
 def test_a_part_index_out_of_range_is_rejected(part: int, parts: int) -> None:
-    message = messages.SnapshotPart(3, 0, part, parts, b"")
+    message = messages.SnapshotPart(3, 0, 0, part, parts, b"")
     with pytest.raises(exceptions.DecodeError):
         snapshot.SnapshotAssembler().add(message)
