Claim no change that a heartbeat leaves out

What callers would see: one process goes on using an upstream that left, or doesn't use one that came, until its entry changes again.

Cause: a heartbeat carries the latest 2,000 bytes of changes and the revision after which they are complete, which was taken as the one before the oldest change carried. If the next older change has the same revision, it is left out but covered by the claim. Whether the store gives one revision to several changes is not said on its page (entries that lapse together, several keys of one write), so it must be borne.

Change: the revision of the oldest change left out bounds the claim.

--- a/src/lovageyoke/fleet/changes.py
+++ b/src/lovageyoke/fleet/changes.py
@@ -58,7 +58,8 @@
         for _, change in reversed(self.buffer):
             size += len(change.key) + len(change.value or b"") + OVERHEAD_BYTES
             if size > MAX_CHANGES_BYTES:
-                return since, tuple(chosen)
+                # Several changes may have one revision.
+                return max(since, change.revision), tuple(chosen)
             chosen.insert(0, change)
             since = change.revision - 1
         return self.since, tuple(chosen)
