--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -1,4 +1,4 @@
-"""Exchanges heartbeats, introductions and snapshots with the peers."""
+"""Exchanges heartbeats and snapshots with the peers."""
 
 from __future__ import annotations
 
@@ -17,6 +17,7 @@
 from lovageyoke.fleet import messages
 from lovageyoke.fleet import queue_counts
 from lovageyoke.fleet import state_updates
+from lovageyoke.node import introductions
 from lovageyoke.node import state as node_state
 
 MIN_HEARTBEAT_GAP_MS = 10.0  # Also holds for urgent heartbeats.
@@ -25,11 +26,8 @@
 COLLECTOR_SHARE = 0.25
 REMOTE_SHARE = 0.5  # To other failure domains.
 MAX_REMOTE_REPORTS = 40  # Load reports per message to other failure domains.
-JOINING_MS = 3_000.0  # Startup phase, in which seeds are contacted often.
 SEED_JOIN_INTERVAL_MS = 200.0
 SEED_COLLECTOR_INTERVAL_MS = 2_000.0  # Reconnects the fleet after a partition.
-INTRODUCTION_INTERVAL_MS = 300.0  # Minimum interval per peer.
-MAX_INTRODUCED_STATES = 150  # Per message.
 # A process whose event loop lags more than this announces no capacity, which
 # ranks it last among the candidates for collector.
 SLOW_LAG_MS = 150.0
@@ -53,8 +51,7 @@
         remote_states: Member states to send to the other domains' collectors.
         remote_sent_ms: When a heartbeat last went to the other domains.
         seeds_sent_ms: When a heartbeat last went to the seeds.
-        introduction_sent_ms: When a peer was last sent an introduction, by
-            node id.
+        introducer: Introduces processes to each other.
         snapshot_source: The last peer that had a newer replica of the store.
     """
 
@@ -74,7 +71,7 @@
         self.remote_states = state_updates.StateUpdates(node.members, True)
         self.remote_sent_ms = -math.inf
         self.seeds_sent_ms = -math.inf
-        self.introduction_sent_ms: dict[str, float] = {}
+        self.introducer = introductions.Introducer(node, self.link)
         self.snapshot_source: fleet_link.Address | None = None
 
     async def run(self) -> None:
@@ -238,7 +235,7 @@
     def is_seed_heartbeat_due(self, now_ms: float) -> bool:
         """Returns whether a heartbeat to the seeds is due."""
         since_ms = now_ms - self.seeds_sent_ms
-        if now_ms - self.clock_started_ms < JOINING_MS:
+        if now_ms - self.clock_started_ms < introductions.JOINING_MS:
             return since_ms >= SEED_JOIN_INTERVAL_MS
         members = self.node.members
         if members.collecting_since_ms is None and members.live(now_ms):
@@ -328,8 +325,8 @@
             message.collecting
             and now_ms - collector_heard_ms > fleet_members.LIVE_MS
         ):
-            self.introduce_local_members(message.sender.peer, address)
-        self.introduce_members(message, address, new, now_ms)
+            self.introducer.introduce_domain(message.sender.peer, address)
+        self.introducer.introduce(message, address, new, now_ms)
         if self.replica.is_behind(message):
             self.snapshot_source = address
         news = self.replica.apply_heartbeat(message, now_ms)
@@ -339,57 +336,3 @@
         is_local = sender.failure_domain == members.domain
         for report in message.reports:
             self.node.record_peer_report(report, now_ms, is_local)
-
-    def introduce_local_members(
-        self, peer: messages.Peer, address: fleet_link.Address
-    ) -> None:
-        """Introduces this domain's members to another domain's new collector.
-
-        Only a collector sends this introduction.
-        """
-        members = self.node.members
-        foreign = peer.failure_domain != members.domain
-        if foreign and members.collecting_since_ms is not None:
-            near = members.of_domain(members.domain)
-            states = [members.own, *(each.state for each in near)]
-            self.send_introductions(states, address)
-
-    def introduce_members(
-        self,
-        heartbeat: messages.Heartbeat,
-        address: fleet_link.Address,
-        new: bool,
-        now_ms: float,
-    ) -> None:
-        """Introduces members to a peer that is new or knows fewer of them.
-
-        A collector sends all members to a peer of its own domain. Otherwise
-        only the collector candidates are sent, and only if the peer is new or
-        this process has just started.
-        """
-        members = self.node.members
-        peer = heartbeat.sender.peer
-        if not new and heartbeat.known >= members.known():
-            return
-        last_ms = self.introduction_sent_ms.get(peer.node_id, -math.inf)
-        if now_ms - last_ms < INTRODUCTION_INTERVAL_MS:
-            return
-        self.introduction_sent_ms[peer.node_id] = now_ms
-        near = peer.failure_domain == members.domain
-        if near and members.collecting_since_ms is not None:
-            states = [members.own]
-            states += [each.state for each in members.others.values()]
-        elif new or now_ms - self.clock_started_ms < JOINING_MS:
-            states = collectors.bootstrap_states(members, peer.failure_domain)
-        else:
-            return
-        self.send_introductions(states, address)
-
-    def send_introductions(
-        self, states: list[messages.MemberState], address: fleet_link.Address
-    ) -> None:
-        """Sends member states to a peer, split into several messages."""
-        for start in range(0, len(states), MAX_INTRODUCED_STATES):
-            part = tuple(states[start : start + MAX_INTRODUCED_STATES])
-            datagram = codec.encode(messages.Introduction(part))
-            self.link.send(datagram, address, "introductions")
