Pause between reads of the store while changes stay missing

What callers would see: nothing at first; the store's read budget would be spent by one process.

Test, failing before: after the read, the next step watches.

--- a/src/lovageyoke/config/document.py
+++ b/src/lovageyoke/config/document.py
@@ -177,7 +177,9 @@
     try:
         return CONVERTER.loads(_decompress(data), data_type)
     except cattrs.BaseValidationError as error:
-        lines = "; ".join(cattrs.transform_error(error, format_exception=_text))
+        lines = "; ".join(
+            cattrs.transform_error(error, format_exception=_format)
+        )
         raise exceptions.DecodeError(f"malformed document: {lines}") from error
     except exceptions.DecodeError:
         raise
@@ -186,7 +188,7 @@
         raise exceptions.DecodeError(f"malformed CBOR: {error}") from error
 
 
-def _text(error: BaseException, data_type: type | None) -> str:
+def _format(error: BaseException, data_type: type | None) -> str:
     if isinstance(error, cattrs.ForbiddenExtraKeysError):
         # The library joins the keys as text, but CBOR allows other types.
         keys = ", ".join(sorted(repr(each) for each in error.extra_fields))
--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -150,6 +150,7 @@
         self.finish_loading(listing.revision, changed, "listed", now_ms)
         if not stale:
             self.fresh_ms = now_ms
+            self.restart_gap(now_ms)
             self.outdated_ms = None
 
     def finish_loading(
@@ -159,9 +160,8 @@
         advanced = revision > self.revision
         self.revision = max(self.revision, revision)
         self.close_gap(source, now_ms)
-        if advanced and self.gap_ms is not None:
-            # The source answers, so what is still missing is a new gap.
-            self.gap_ms = now_ms
+        if advanced:
+            self.restart_gap(now_ms)
         self.recent.reset(self.revision)
         if changed or not self.listed:
             self.listed = True
@@ -189,6 +189,8 @@
         entry = messages.EntryChange(change.key, change.revision, change.value)
         return self.apply_change(entry, now_ms)
 
+    # Missing changes
+
     def open_gap(self, heartbeat: messages.Heartbeat, now_ms: float) -> None:
         """Records that changes before those of a heartbeat are missing."""
         self.missing_revision = max(
@@ -217,6 +219,11 @@
         )
         self.gap_ms = None
 
+    def restart_gap(self, now_ms: float) -> None:
+        """Counts what is still missing as a new gap, as the source answers."""
+        if self.gap_ms is not None:
+            self.gap_ms = now_ms
+
     # From other processes
 
     def apply_heartbeat(
--- a/tests/fleet/test_missed_changes.py
+++ b/tests/fleet/test_missed_changes.py
@@ -73,6 +73,25 @@
     assert_that(behind_ms, matchers.Is(None))
 
 
+async def test_a_revision_that_the_store_lacks_is_not_read_in_a_loop(
+    store: revision_store.RevisionStore,
+    harness: conftest.FollowerHarness,
+    heartbeat_of: conftest.HeartbeatOf,
+    clock: manual_clock.ManualClock,
+) -> None:
+    await harness.start_alone()
+    replica = harness.replica
+    wrong = heartbeat_of(
+        revision=store.revision + 1_000, since_revision=store.revision + 999
+    )
+    replica.apply_heartbeat(wrong, clock.now_ms())
+    clock.advance(fleet_follower.PEER_TIMEOUT_MS)
+    await harness.follower.step()
+    assert_that(store.call_names[-2:], matchers.Equals(["list", "get"]))
+    await harness.follower.step()
+    assert_that(store.call_names[-1], matchers.Equals("watch"))
+
+
 async def test_snapshots_do_not_hide_a_configuration_too_large_for_them(
     store: revision_store.RevisionStore,
     harness: conftest.FollowerHarness,
