--- a/tests/fleet/test_missed_changes.py
+++ b/tests/fleet/test_missed_changes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 from tests.fleet import conftest
 from tests.fleet import scenarios
@@ -130,3 +132,33 @@
         lambda: not any(each.upstreams for each in fleet.running()),
         scenarios.CHANGE_BOUND_MS,
     )
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_all_processes_agree_after_batches_of_changes_under_loss(
+    seed: int,
+) -> None:
+    fleet = scenarios.fleet_of(
+        [20, 15, 10], upstreams=MANY, seed=seed, loss=0.05, duplicates=0.05
+    )
+    rng = random.Random(seed)  # noqa: S311
+    watchers = rng.sample(fleet.processes, 2)
+    expected = set(MANY)
+    revision = max(each.replica.revision for each in fleet.running())
+    for _ in range(8):
+        batch = []
+        for name in rng.sample(MANY, rng.randint(1, len(MANY))):
+            revision += 1
+            value = rng.choice([b"x", b"draining", None])
+            batch.append(revisions.Change(f"up/{name}", revision, value))
+            expected.discard(name)
+            if value == b"x":
+                expected.add(name)
+        for watcher in watchers:
+            fleet.deliver_changes(watcher, *batch)
+            fleet.run(rng.uniform(0.0, 400.0))
+    fleet.run_until(
+        lambda: all(each.upstreams == expected for each in fleet.running()),
+        scenarios.CHANGE_BOUND_MS,
+    )
+    scenarios.check_monotonic(fleet)
