Log the rate limits that upstreams state

The header is decoded in the adapter as a plain decimal number; anything else, or two of them, changes nothing and is logged once per upstream. The limit is recorded when the head of a response has arrived, so that a long download doesn't delay it. A response without a limit ends it only if its request was sent after the last statement, and a health check only if this upstream's health checks have stated one before. No choice depends on it yet.

--- a/src/lovageyoke/explain/timeline.py
+++ b/src/lovageyoke/explain/timeline.py
@@ -14,7 +14,7 @@
 import attrs
 
 STATE_EVENTS = ("configuration", "upstreams", "store-lost", "store-regained")
-UPSTREAM_EVENTS = ("upstream-health", "upstream-silent")
+UPSTREAM_EVENTS = ("upstream-health", "upstream-silent", "rate-limit")
 
 
 @attrs.frozen
--- a/src/lovageyoke/hop/attempt.py
+++ b/src/lovageyoke/hop/attempt.py
@@ -108,6 +108,7 @@
         upstream: model.Upstream,
         dispatch: DispatchState,
         sink: hop_api.BodySink | None,
+        on_head: hop_connection.OnHead | None = None,
     ) -> messages.Response:
         """Sends a request and waits for its response.
 
@@ -119,6 +120,8 @@
             upstream: The upstream to send it to.
             dispatch: Updated once the request may have been sent.
             sink: Receives a large response body as it arrives.
+            on_head: Called with the status and headers of the response when
+                they are complete.
 
         Raises:
             UpstreamError: No response was received; ``dispatch`` tells
@@ -140,7 +143,8 @@
                 prepared.request.body,
                 prepared.request_id,
                 sink,
-                prepared.request.method == b"HEAD",
+                head_only=prepared.request.method == b"HEAD",
+                on_head=on_head,
             )
         except BaseException:
             connection.abort()
--- a/src/lovageyoke/hop/connection.py
+++ b/src/lovageyoke/hop/connection.py
@@ -23,6 +23,7 @@
 USER_TIMEOUT_MS = 10_000
 
 Kind = kinds.ErrorKind
+OnHead = Callable[[int, messages.Headers], None]
 
 
 @attrs.define
@@ -35,12 +36,15 @@
         future: Future that receives the response or the error.
         sink: Receives a large body as it arrives, None to buffer all bodies.
         head_only: Whether the response has no body, as for HEAD requests.
+        on_head: Called with the status and headers of the response when they
+            are complete.
     """
 
     request_id: bytes | None
     future: asyncio.Future[messages.Response]
     sink: api.BodySink | None = None
     head_only: bool = False
+    on_head: OnHead | None = None
 
 
 class ClientConnection(asyncio.Protocol):
@@ -152,6 +156,8 @@
             )
             if self.mismatched:
                 self.must_close = True
+        if self.exchange.on_head is not None and not self.mismatched:
+            self.exchange.on_head(self.status, self.headers)
         self.close_delimited = self.is_close_delimited(self.exchange)
         if self.exchange.head_only and not self.mismatched:
             # The parser would wait for the body that Content-Length announces.
@@ -190,7 +196,9 @@
         body: bytes,
         request_id: bytes | None,
         sink: api.BodySink | None = None,
+        *,
         head_only: bool = False,
+        on_head: OnHead | None = None,
     ) -> asyncio.Future[messages.Response]:
         """Sends a request.
 
@@ -200,6 +208,8 @@
             request_id: ID that the response must carry, None for any.
             sink: Receives a large response body as it arrives.
             head_only: Whether the response will have no body.
+            on_head: Called with the status and headers of the response when
+                they are complete.
 
         Returns:
             A future of the response. It fails with ``UpstreamError``.
@@ -209,7 +219,7 @@
                 "the connection is not open", Kind.NOTHING_WRITTEN
             )
         future = asyncio.get_running_loop().create_future()
-        self.exchange = Exchange(request_id, future, sink, head_only)
+        self.exchange = Exchange(request_id, future, sink, head_only, on_head)
         self.transport.write(head + body if body else head)
         return future
 
--- a/src/lovageyoke/hop/names.py
+++ b/src/lovageyoke/hop/names.py
@@ -15,6 +15,7 @@
         expected_upstream: The only upstream that may execute the request.
         answering_upstream: The upstream that sent a response.
         load: Load report of an upstream.
+        rate_limit: Requests per second that an upstream accepts.
         not_executed: Present if the upstream did not execute the request.
         signature: The upstream's signature of a response.
     """
@@ -24,5 +25,6 @@
     expected_upstream: bytes
     answering_upstream: bytes
     load: bytes
+    rate_limit: bytes
     not_executed: bytes
     signature: bytes
--- a/src/lovageyoke/node/assembly.py
+++ b/src/lovageyoke/node/assembly.py
@@ -72,6 +72,7 @@
             headers.NAMES, hop_pool.ConnectionPool(), clock
         ),
         decode_load=headers.decode_load,
+        decode_rate_limit=headers.decode_rate_limit,
         members=fleet_members.Members(fleet_messages.MemberState(own)),
     )
     store = store_client.StoreClient(settings.store.host, settings.store.port)
--- a/src/lovageyoke/node/feedback.py
+++ b/src/lovageyoke/node/feedback.py
@@ -2,11 +2,37 @@
 
 from __future__ import annotations
 
+from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.hop import messages
 from lovageyoke.node import attempts
 from lovageyoke.node import state as node_state
+from lovageyoke.routing import load_view
 from lovageyoke.routing import model
 from lovageyoke.routing import placement
+from lovageyoke.routing import rate_limit
+
+
+def record_head(
+    node: node_state.NodeState,
+    view: load_view.UpstreamView,
+    sent_ms: float,
+    status: int,
+    headers: messages.Headers,
+) -> None:
+    """Records the rate limit in the head of a response.
+
+    Args:
+        node: Shared state of the process.
+        view: The upstream that the request was sent to.
+        sent_ms: When the request was sent.
+        status: Status of the response.
+        headers: Headers of the response.
+    """
+    if status == hop_attempt.MISDIRECTED:
+        return
+    node.rate_limiter.record_response(
+        view, headers, sent_ms, rate_limit.Source.RESPONSE
+    )
 
 
 def record_response(
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -113,6 +113,7 @@
             "peers_live": len(self.node.members.live(now_ms)),
             "upstreams_known": len(self.node.loads.by_id),
             "requests_waiting": waiting,
+            "upstreams_rate_limited": self.node.rate_limiter.limited_count(),
             "ready": self.node.ready,
             "collecting": self.node.members.collecting_since_ms is not None,
             "period_ms": self.node.period_ms,
--- a/src/lovageyoke/node/prober.py
+++ b/src/lovageyoke/node/prober.py
@@ -11,6 +11,7 @@
 from lovageyoke.node import state as node_state
 from lovageyoke.routing import load_view
 from lovageyoke.routing import probe_interval
+from lovageyoke.routing import rate_limit
 
 SLOT_CHECK_PERIOD_MS = 1_000.0  # For upstreams whose health check uses a slot.
 MAX_SUSPECT_PERIOD_MS = 200.0  # For silent or unhealthy upstreams.
@@ -175,13 +176,14 @@
                     RESPONSE_TIMEOUT_MS,
                 )
             self.sent += 1
+            sent_ms = self.node.clock.now_ms()
             response = await self.send_check(view, connection)
         except (exceptions.UpstreamError, TimeoutError):
             self.record_no_response(view)
             if connection is not None:
                 connection.abort()
             return None
-        self.record_response(view, response)
+        self.record_response(view, response, sent_ms)
         return connection
 
     async def send_check(
@@ -218,9 +220,18 @@
             )
 
     def record_response(
-        self, view: load_view.UpstreamView, response: messages.Response
+        self,
+        view: load_view.UpstreamView,
+        response: messages.Response,
+        sent_ms: float,
     ) -> None:
-        """Records the response to a check."""
+        """Records the response to a check.
+
+        Args:
+            view: The upstream.
+            response: The response.
+            sent_ms: When the check was sent.
+        """
         now_ms = self.node.clock.now_ms()
         names = self.node.client.names
         answering_id = response.header(names.answering_upstream)
@@ -246,3 +257,6 @@
         report = self.node.decode_load(response.header(names.load))
         if report is not None:
             self.node.record_report(view, report, now_ms)
+        self.node.rate_limiter.record_response(
+            view, response.headers, sent_ms, rate_limit.Source.HEALTH_CHECK
+        )
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
@@ -256,7 +257,15 @@
         delivery = hop_attempt.DispatchState()
         sink = None if hedge else self.sink
         task = asyncio.ensure_future(
-            self.node.client.send(self.sending, view.upstream, delivery, sink)
+            self.node.client.send(
+                self.sending,
+                view.upstream,
+                delivery,
+                sink,
+                functools.partial(
+                    feedback.record_head, self.node, view, now_ms
+                ),
+            )
         )
         view.own_in_flight += 1
         self.tried.add(view.upstream.key)
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -12,6 +12,7 @@
 from lovageyoke.fleet import queue_counts
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.limits import admission_queue as limits_queue
+from lovageyoke.node import rate_limiter
 from lovageyoke.node import settings as node_settings
 from lovageyoke.node import unsent_reports
 from lovageyoke.observe import events
@@ -56,6 +57,7 @@
         decode_load: Decodes the load report in a response's header.
         members: The processes of the fleet.
         loads: Load views of the upstreams.
+        rate_limiter: Rate limits of the upstreams.
         work: Work estimates of routes and services.
         table: The routes, None before a configuration is known.
         configuration: The current configuration.
@@ -93,6 +95,7 @@
         log: events.EventLog,
         client: hop_attempt.UpstreamClient,
         decode_load: DecodeLoad,
+        decode_rate_limit: rate_limiter.DecodeRateLimit,
         members: fleet_members.Members,
     ) -> None:
         self.settings = settings
@@ -103,6 +106,9 @@
         self.decode_load = decode_load
         self.members = members
         self.loads = load_view.LoadView()
+        self.rate_limiter = rate_limiter.RateLimiter(
+            clock, log, decode_rate_limit
+        )
         self.work = work_estimate.WorkEstimates()
         self.table: route_table.RouteTable | None = None
         self.configuration: model.Configuration | None = None
@@ -168,6 +174,7 @@
         for upstream_id in before - set(self.loads.by_id):
             self.unsent_reports.drop(upstream_id)
             self.unsent_remote_reports.drop(upstream_id)
+        self.rate_limiter.keep_only(self.loads.by_id)
 
     @property
     def configuration_version(self) -> int:
--- a/src/lovageyoke/platform/headers.py
+++ b/src/lovageyoke/platform/headers.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import re
+
+from lovageyoke.errors import exceptions
+from lovageyoke.hop import messages
 from lovageyoke.hop import names
 from lovageyoke.routing import load_view
 
 USUAL_PACE_PERCENT = 100.0
 MIN_LOAD_FIELDS = 3
+# A plain decimal number; the number of digits keeps it finite.
+_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+MAX_LOGGED_BYTES = 60
 
 NAMES = names.HeaderNames(
     request_id=b"x-request-id",
@@ -15,6 +22,7 @@
     # Identifies the upstream that responded, not the expected one.
     answering_upstream=b"x-instance-id",
     load=b"x-backend-load",
+    rate_limit=b"server-limit",
     not_executed=b"x-not-executed",
     signature=b"x-response-signature",
 )
@@ -40,6 +48,28 @@
     return load_view.LoadReport(fields[0], fields[1], fields[2], pace)
 
 
+def decode_rate_limit(headers: messages.Headers) -> float | None:
+    """Decodes the requests per second that an upstream accepts.
+
+    Args:
+        headers: The headers of its response.
+
+    Returns:
+        The limit, at least 0, or None if the response states none.
+
+    Raises:
+        DecodeError: The limit is malformed or stated twice.
+    """
+    values = [value for name, value in headers if name == NAMES.rate_limit]
+    if not values:
+        return None
+    text = values[0].strip()
+    if len(values) > 1 or _DECIMAL.fullmatch(text) is None:
+        stated = b", ".join(values)[:MAX_LOGGED_BYTES]
+        raise exceptions.DecodeError(f"invalid rate limit: {stated!r}")
+    return float(text)
+
+
 def decode_deadline(value: bytes | None) -> float | None:
     """Decodes the time left until the deadline in ms, None if absent."""
     if value is None:
--- a/src/lovageyoke/routing/load_view.py
+++ b/src/lovageyoke/routing/load_view.py
@@ -13,6 +13,7 @@
 import attrs
 
 from lovageyoke.routing import model
+from lovageyoke.routing import rate_limit as routing_rate_limit
 
 SLOWDOWN_DECAY_MS = 400.0  # Slowdowns change about twice a second.
 FAILURE_HALF_LIFE_MS = 2_500.0
@@ -56,6 +57,7 @@
         unhealthy: Whether its health check reports a failure.
         sent_slowdown: Slowdown last sent to the other processes.
         unanswered_probes: Consecutive health checks without an answer.
+        rate_limit: The rate limit, None if the upstream never stated one.
     """
 
     upstream: model.Upstream
@@ -69,6 +71,7 @@
     unhealthy: bool = False
     sent_slowdown: float = 1.0
     unanswered_probes: int = 0
+    rate_limit: routing_rate_limit.RateLimit | None = None
 
     def apply_report(
         self,
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -96,6 +96,7 @@
                 headers.NAMES, hop_pool.ConnectionPool(), clock
             ),
             decode_load=headers.decode_load,
+            decode_rate_limit=headers.decode_rate_limit,
             members=fleet_members.Members(messages.MemberState(own)),
         )
         self.node.period_ms = self.fleet.period_ms
--- a/tests/fakes/platform_upstream.py
+++ b/tests/fakes/platform_upstream.py
@@ -21,6 +21,8 @@
         ran: Number of executions by request ID.
         last: The last request received.
         load: The reported load header value.
+        limits: The rate limit headers of responses to requests.
+        limits_checks: Whether responses to health checks carry them too.
     """
 
     def __init__(self, upstream_id: str) -> None:
@@ -31,6 +33,8 @@
         self.ran: collections.Counter[str] = collections.Counter()
         self.last: messages.Request | None = None
         self.load = b"0,0,6,100"
+        self.limits: list[bytes] = []
+        self.limits_checks = False
         self.handler = handlers.Handler(self.respond)
         self.listener = handlers.Listener(self.handler)
 
@@ -86,6 +90,8 @@
             (b"x-backend-load", self.load),
             *headers,
         ]
+        if identity is not None or self.limits_checks:
+            all_headers.extend((b"server-limit", each) for each in self.limits)
         if identity is not None:
             all_headers.append((b"x-request-id", identity.encode()))
             all_headers.append((b"x-response-signature", b"sig"))
--- a/tests/node/test_overload.py
+++ b/tests/node/test_overload.py
@@ -114,6 +114,7 @@
         upstream: model.Upstream,
         delivery: hop_attempt.DispatchState,
         sink: object,
+        on_head: object = None,
     ) -> messages.Response:
         port = upstream.port
         delivery.sent = True
@@ -146,6 +147,7 @@
             log=events.EventLog(self.clock, "n1", os.open(os.devnull, 1)),
             client=self.client,
             decode_load=headers.decode_load,
+            decode_rate_limit=headers.decode_rate_limit,
             members=members.Members(
                 fleet_messages.MemberState(
                     fleet_messages.Peer(
--- /dev/null
+++ b/tests/node/test_rate_limiter.py
@@ -0,0 +1,93 @@
+"""Rate limits that upstreams state are recorded, logged and kept."""
+
+from __future__ import annotations
+
+import json
+import os
+
+import httpx
+import pytest
+from tests.node import conftest
+from testtools import matchers
+from testtools.assertions import assert_that
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def log_reader(harness: conftest.ProcessHarness) -> int:
+    """Redirects the log to a pipe; returns the end to read."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    harness.node.log.descriptor = writer
+    return reader
+
+
+def logged(reader: int, kind: str) -> list[dict[str, object]]:
+    lines = [json.loads(each) for each in os.read(reader, 1 << 16).splitlines()]
+    return [each for each in lines if each["event"] == kind]
+
+
+def set_limits(harness: conftest.ProcessHarness, *limits: bytes) -> None:
+    for each in harness.upstreams:
+        each.limits = list(limits)
+
+
+async def test_limits_are_logged_when_stated_changed_and_ended(
+    harness: conftest.ProcessHarness, log_reader: int
+) -> None:
+    harness.upstreams[1].always = "shed"
+    harness.upstreams[0].limits = [b"1000"]
+    await harness.send_request(identity="r1")
+    harness.upstreams[0].limits = [b"2000"]
+    await harness.send_request(identity="r2")
+    harness.upstreams[0].limits = []
+    await harness.send_request(identity="r3")
+    lines = logged(log_reader, "rate-limit")
+    changes = [(each["before_per_s"], each["per_s"]) for each in lines]
+    expected = [(None, 1_000.0), (1_000.0, 2_000.0), (2_000.0, None)]
+    assert_that(changes, matchers.Equals(expected))
+    named = {(each["upstream"], each["source"]) for each in lines}
+    assert_that(named, matchers.Equals({("i-0", "response")}))
+
+
+async def test_limits_in_health_checks_are_logged(
+    harness: conftest.ProcessHarness, log_reader: int
+) -> None:
+    harness.upstreams[0].limits = [b"7"]
+    harness.upstreams[0].limits_checks = True
+    limiter = harness.node.rate_limiter
+    await harness.wait_until(lambda: limiter.limited_count() == 1)
+    (line,) = logged(log_reader, "rate-limit")
+    assert_that(line["source"], matchers.Equals("health-check"))
+    async with httpx.AsyncClient() as client:
+        page = await client.get(f"http://127.0.0.1:{harness.metrics}/metrics")
+    assert_that(
+        page.text, matchers.Contains("lovageyoke_upstreams_rate_limited 1")
+    )
+
+
+@pytest.mark.parametrize("value", [b"", b"inf", b"1e400", b"-3", b"x" * 900])
+async def test_a_malformed_limit_changes_nothing_and_is_logged_once(
+    harness: conftest.ProcessHarness, log_reader: int, value: bytes
+) -> None:
+    set_limits(harness, value)
+    for index in range(6):
+        answer = await harness.send_request(identity=f"r{index}")
+        assert_that(answer.status_code, matchers.Equals(200))
+    lines = logged(log_reader, "rate-limit-malformed")
+    upstreams = sorted(str(each["upstream"]) for each in lines)
+    assert_that(len(upstreams), matchers.Equals(len(set(upstreams))))
+    assert_that(upstreams, matchers.Not(matchers.HasLength(0)))
+    assert_that(harness.node.rate_limiter.limited_count(), matchers.Equals(0))
+
+
+async def test_limits_of_removed_upstreams_are_forgotten(
+    harness: conftest.ProcessHarness,
+) -> None:
+    set_limits(harness, b"1000")
+    await harness.send_request()
+    limiter = harness.node.rate_limiter
+    assert_that(limiter.limited_count(), matchers.Equals(1))
+    harness.node.apply_upstreams([])
+    assert_that(limiter.views, matchers.Equals({}))
--- a/tests/node/test_reports.py
+++ b/tests/node/test_reports.py
@@ -39,6 +39,7 @@
             headers.NAMES, hop_pool.ConnectionPool(), clock
         ),
         decode_load=headers.decode_load,
+        decode_rate_limit=headers.decode_rate_limit,
         members=fleet_members.Members(messages.MemberState(own)),
     )
     created.apply_upstreams(
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -6,6 +6,7 @@
 from testtools import matchers
 from testtools.assertions import assert_that
 
+from lovageyoke.errors import exceptions
 from lovageyoke.platform import headers
 from lovageyoke.routing import load_view
 
@@ -31,3 +32,45 @@
 )
 def test_deadline(value: bytes | None, expected: float | None) -> None:
     assert_that(headers.decode_deadline(value), matchers.Equals(expected))
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(b"2.6", 2.6), (b" 14 ", 14.0), (b"0", 0.0), (b"0.05", 0.05)],
+)
+def test_rate_limit(value: bytes, expected: float) -> None:
+    found = headers.decode_rate_limit([(b"server-limit", value)])
+    assert_that(found, matchers.Equals(expected))
+
+
+def test_a_response_without_a_rate_limit_states_none() -> None:
+    found = headers.decode_rate_limit([(b"content-length", b"3")])
+    assert_that(found, matchers.Is(None))
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"soon",
+        b"-1",
+        b"-0",
+        b"nan",
+        b"inf",
+        b"1e400",
+        b"1" * 400,
+        b"2,6",
+        b"2.6 3",
+        b".5",
+        b"\xd9\xa3",
+    ],
+)
+def test_a_malformed_rate_limit_is_an_error(value: bytes) -> None:
+    with pytest.raises(exceptions.DecodeError):
+        headers.decode_rate_limit([(b"server-limit", value)])
+
+
+def test_two_rate_limits_in_one_response_are_an_error() -> None:
+    twice = [(b"server-limit", b"2"), (b"server-limit", b"2")]
+    with pytest.raises(exceptions.DecodeError):
+        headers.decode_rate_limit(twice)
