--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -157,6 +157,16 @@
                 content=b"payload" if method == "POST" else None,
             )
 
+    async def wait_until_limited(self, upstream_id: str) -> None:
+        """Sends requests until an upstream's rate limit is known."""
+        number = 0
+        while True:
+            view = self.node.loads.by_id[upstream_id]
+            if view.rate_limit is not None:
+                return
+            await self.send_request(identity=f"first-{number}")
+            number += 1
+
     def run_count(self, identity: str = "r1") -> int:
         return sum(each.ran[identity] for each in self.upstreams)
 
--- a/tests/node/test_rate_limiter.py
+++ b/tests/node/test_rate_limiter.py
@@ -91,3 +91,22 @@
     assert_that(limiter.limited_count(), matchers.Equals(1))
     harness.node.apply_upstreams([])
     assert_that(limiter.views, matchers.Equals({}))
+
+
+def allowed_in_4_s(per_s: float) -> float:
+    """Returns the users' bound on requests in any four seconds."""
+    return 1.5 * 4.0 * per_s + 5.0
+
+
+async def test_an_upstream_gets_no_more_requests_than_it_accepts(
+    harness: conftest.ProcessHarness,
+) -> None:
+    limited = harness.upstreams[0]
+    limited.limits = [b"2"]
+    await harness.wait_until_limited("i-0")
+    before = sum(limited.arrivals.values())
+    for index in range(80):
+        answer = await harness.send_request(identity=f"again-{index}")
+        assert_that(answer.status_code, matchers.Equals(200))
+    arrived = sum(limited.arrivals.values()) - before
+    assert_that(arrived, matchers.Not(matchers.GreaterThan(allowed_in_4_s(2))))
