Keep the fleet to the rates that upstreams accept

Cause: no process read the limit, and the choice knew only load and slowdown, by which an idle upstream in need ranks first.

An upstream's limit is now part of its load view. floor(limit) + 2 processes send to it, the first ones of a rendezvous order with those of its failure domain first, each with the same time between two sends. Their bursts add up to 4 s x limit + limit + 2, below the users' bound of 6 s x limit + 5 by limit + 3. A process that becomes a sender waits 2.5 s, longer than views of the fleet differ; one that no longer is stops at once. All attempts count at the moment of sending. The limit counts as capacity: one request now or none, so scarcity and queueing don't rely on the upstream. If every upstream of a service is limited, what the rates can't serve within the wait is refused at once, with a Retry-After from the rates. Limits travel with the heartbeats, named by the upstream's start, ordered by age and repeated by the collectors; an upstream below 0.1 requests/s is asked at that rate whether it still is. Limited upstreams are checked once a second.

--- a/src/lovageyoke/fleet/codec.py
+++ b/src/lovageyoke/fleet/codec.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 import struct
 from typing import Any
 
+import attrs
 import cbor2
 
 from lovageyoke.errors import exceptions
@@ -88,6 +90,7 @@
         [list(each) for each in message.waiting],
         [_state_fields(each) for each in message.members],
         [list(each) for each in message.domains],
+        [list(attrs.astuple(each)) for each in message.rate_limits],
     ]
 
 
@@ -107,6 +110,10 @@
         waiting=tuple((str(name), int(count)) for name, count in raw[9]),
         members=tuple(_state(each) for each in raw[10]),
         domains=tuple((str(name), _age(age)) for name, age in raw[11]),
+        # Absent from the messages of earlier versions.
+        rate_limits=tuple(
+            _rate_limit(each) for part in raw[12:13] for each in part
+        ),
     )
 
 
@@ -199,6 +206,17 @@
     )
 
 
+def _rate_limit(raw: list[Any]) -> messages.RateLimitReport:
+    upstream_id, started_ms, per_s, age_ms = raw
+    if per_s is not None:
+        per_s = float(per_s)
+        if not 0.0 <= per_s < math.inf:
+            raise ValueError("rate limit out of range")
+    return messages.RateLimitReport(
+        str(upstream_id), int(started_ms), per_s, _age(age_ms)
+    )
+
+
 def _change(raw: list[Any]) -> messages.EntryChange:
     key, revision, value = raw
     if value is not None:
--- a/src/lovageyoke/fleet/members.py
+++ b/src/lovageyoke/fleet/members.py
@@ -280,6 +280,32 @@
             return near
         return [state for states in working.values() for state in states]
 
+    def duty_position(
+        self, key: str, failure_domain: str, now_ms: float
+    ) -> int | None:
+        """Returns this process's position among those that may have a duty.
+
+        The processes of the failure domain come first, each group in the
+        order of a rendezvous hash.
+
+        Args:
+            key: Name of the duty.
+            failure_domain: Failure domain of the duty.
+            now_ms: The time.
+
+        Returns:
+            The position from 0, None if this process is leaving.
+        """
+        if self.own.leaving:
+            return None
+        working = self.view(now_ms).working
+        own = _duty_rank(key, failure_domain, self.own)
+        return sum(
+            _duty_rank(key, failure_domain, state) < own
+            for states in working.values()
+            for state in states
+        )
+
     def watch_rank(self, now_ms: float, store_ok: bool | None) -> int:
         """Returns this process's rank for watching the store, from 0.
 
@@ -313,6 +339,17 @@
         )
 
 
+def _duty_rank(
+    key: str, failure_domain: str, state: messages.MemberState
+) -> tuple[bool, int, str]:
+    peer = state.peer
+    return (
+        peer.failure_domain != failure_domain,
+        hash_of(key + "\0" + peer.node_id),
+        peer.node_id,
+    )
+
+
 def duty_owner(key: str, states: Iterable[messages.MemberState]) -> str:
     """Returns the node id of the process that owns a duty.
 
--- a/src/lovageyoke/fleet/messages.py
+++ b/src/lovageyoke/fleet/messages.py
@@ -86,6 +86,23 @@
     failures: int = 0
 
 
+@attrs.frozen
+class RateLimitReport:
+    """A rate limit that an upstream has stated.
+
+    Attributes:
+        upstream_id: The upstream.
+        started_ms: Start time of the upstream, as in its entry.
+        per_s: Requests per second from all processes, None for no limit.
+        age_ms: Age of the statement when it is sent.
+    """
+
+    upstream_id: str
+    started_ms: int
+    per_s: float | None
+    age_ms: int
+
+
 @attrs.frozen
 class EntryChange:
     """A change of an entry in the store.
@@ -121,6 +138,7 @@
         members: States of processes that the receiver may not know.
         domains: Time since the last collector heartbeat from each failure
             domain, in milliseconds.
+        rate_limits: Rate limits that upstreams have stated.
     """
 
     sender: MemberState
@@ -135,6 +153,7 @@
     waiting: tuple[tuple[str, int], ...] = ()
     members: tuple[MemberState, ...] = ()
     domains: tuple[tuple[str, int], ...] = ()
+    rate_limits: tuple[RateLimitReport, ...] = ()
 
 
 @attrs.frozen
--- a/src/lovageyoke/fleet/state_updates.py
+++ b/src/lovageyoke/fleet/state_updates.py
@@ -1,16 +1,15 @@
 """Selects the process states to include in the next message.
 
-A changed state is sent several times, as messages may be lost. Unchanged
-states are sent in round-robin order, so that the membership lists of all
-processes converge.
+Unchanged states are sent too, in round-robin order, so that the membership
+lists of all processes converge.
 """
 
 from __future__ import annotations
 
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
+from lovageyoke.fleet import transmissions
 
-TRANSMISSIONS = 3
 MAX_CHANGED_STATES = 60  # Changed states per message.
 ROUND_ROBIN_STATES = 3
 
@@ -22,8 +21,7 @@
         members: The processes.
         own_domain_only: Whether only states of the own failure domain are
             sent.
-        pending: Remaining transmissions of each changed state, by node id.
-        position: Round-robin position among all states.
+        transmissions: Selects the processes by node id.
     """
 
     def __init__(
@@ -31,13 +29,11 @@
     ) -> None:
         self.members = members
         self.own_domain_only = own_domain_only
-        self.pending: dict[str, int] = {}
-        self.position = 0
+        self.transmissions = transmissions.TransmissionQueue()
 
     def queue(self, node_ids: set[str]) -> None:
         """Queues the states of processes that have changed."""
-        for node_id in node_ids:
-            self.pending[node_id] = TRANSMISSIONS
+        self.transmissions.queue(node_ids)
 
     def next_states(
         self, round_robin: bool
@@ -47,16 +43,18 @@
         Args:
             round_robin: Whether to add states in round-robin order.
         """
-        node_ids = []
-        for node_id in list(self.pending)[:MAX_CHANGED_STATES]:
-            if self.pending[node_id] <= 1:
-                del self.pending[node_id]
-            else:
-                # Requeue at the end, so that all are sent once first.
-                self.pending[node_id] = self.pending.pop(node_id) - 1
-            node_ids.append(node_id)
+        node_ids = self.transmissions.take(MAX_CHANGED_STATES)
         if round_robin:
-            node_ids.extend(self.next_round_robin())
+            node_ids.extend(
+                self.transmissions.take_round_robin(
+                    [
+                        node_id
+                        for node_id, member in self.members.others.items()
+                        if self.includes(member)
+                    ],
+                    ROUND_ROBIN_STATES,
+                )
+            )
         found = (self.members.others.get(each) for each in node_ids)
         return tuple(
             each.state for each in found if each and self.includes(each)
@@ -66,19 +64,6 @@
         """Queues the states of all processes."""
         self.queue(set(self.members.others))
 
-    def next_round_robin(self) -> list[str]:
-        """Returns the next processes in round-robin order."""
-        node_ids = [
-            node_id
-            for node_id, member in self.members.others.items()
-            if self.includes(member)
-        ]
-        if not node_ids:
-            return []
-        start = self.position % len(node_ids)
-        self.position = start + ROUND_ROBIN_STATES
-        return node_ids[start : start + ROUND_ROBIN_STATES]
-
     def includes(self, member: fleet_members.Member) -> bool:
         """Returns whether a process's state is sent to these recipients."""
         domain = member.peer.failure_domain
--- a/src/lovageyoke/limits/admission_queue.py
+++ b/src/lovageyoke/limits/admission_queue.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 
 import attrs
 
@@ -73,14 +74,17 @@
         ahead = sum(each.priority <= priority for each in self.queued)
         return (ahead + 1) * self.start_interval_ms
 
-    def admits(self, priority: int, left_ms: float) -> bool:
+    def admits(
+        self, priority: int, left_ms: float, sends: float = math.inf
+    ) -> bool:
         """Returns whether a request is expected to start in time.
 
         Args:
             priority: Its priority.
             left_ms: Time within which it must start.
+            sends: Number of requests that can be sent within that time.
         """
-        if len(self.queued) >= MAX_WAITING:
+        if len(self.queued) >= min(sends, MAX_WAITING):
             return False
         return not self.queued or self.expected_wait_ms(priority) < left_ms
 
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -22,6 +22,7 @@
 DEFAULT_DEADLINE_MS = 60_000.0  # For requests without a deadline header.
 MIN_RETRY_AFTER_MS = 80.0
 MAX_RETRY_AFTER_MS = 1_000.0
+MAX_RATE_RETRY_AFTER_MS = 5_000.0  # If all upstreams have rate limits.
 
 Kind = kinds.ErrorKind
 
@@ -233,6 +234,10 @@
             return None
         wait_ms = MIN_RETRY_AFTER_MS
         if race is not None:
+            limited_ms = self.node.rate_limiter.retry_after_ms(race.service)
+            if limited_ms is not None:
+                wait_ms = min(limited_ms, MAX_RATE_RETRY_AFTER_MS)
+                return wait_ms * self.node.rng.uniform(1.0, 1.4)
             queue = self.node.queue(race.service)
             if queue.queued:
                 wait_ms = queue.expected_wait_ms(race.route.priority)
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -190,6 +190,9 @@
         return attrs.evolve(
             self.heartbeat(now_ms),
             reports=self.node.reports_to_send(now_ms),
+            rate_limits=self.node.rate_limiter.reports_to_send(
+                now_ms, is_remote=False
+            ),
             waiting=queue_counts.of_fleet(members, own, now_ms)
             if collecting
             else own,
@@ -212,6 +215,9 @@
             reports=self.node.remote_reports_to_send(
                 now_ms, MAX_REMOTE_REPORTS
             ),
+            rate_limits=self.node.rate_limiter.reports_to_send(
+                now_ms, is_remote=True
+            ),
             waiting=queue_counts.of_domain(self.node.members, own, now_ms),
             members=self.remote_states.next_states(round_robin=True),
         )
@@ -336,3 +342,5 @@
         is_local = sender.failure_domain == members.domain
         for report in message.reports:
             self.node.record_peer_report(report, now_ms, is_local)
+        for limit in message.rate_limits:
+            self.node.rate_limiter.record_peer_report(limit, now_ms, is_local)
--- a/src/lovageyoke/node/prober.py
+++ b/src/lovageyoke/node/prober.py
@@ -14,6 +14,7 @@
 from lovageyoke.routing import rate_limit
 
 SLOT_CHECK_PERIOD_MS = 1_000.0  # For upstreams whose health check uses a slot.
+RATE_LIMITED_PERIOD_MS = 1_000.0  # For upstreams that accept few requests.
 MAX_SUSPECT_PERIOD_MS = 200.0  # For silent or unhealthy upstreams.
 POLL_INTERVAL_MS = 100.0  # At which a task looks whether its check is due.
 MIN_PERIOD_CHANGE = 0.2  # Smaller relative changes of the period are ignored.
@@ -138,6 +139,8 @@
         period_ms = self.periods_ms.get(service, MAX_HEARTBEAT_MS)
         if view.report is None or view.report.slowdown is None:
             return self.node.until_period_ms(SLOT_CHECK_PERIOD_MS)
+        if view.is_rate_limited():
+            return self.node.until_period_ms(RATE_LIMITED_PERIOD_MS)
         if view.unanswered_probes or view.unhealthy:
             period_ms = min(period_ms, MAX_SUSPECT_PERIOD_MS)
         base_ms = self.node.period_ms
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -133,7 +133,7 @@
         """
         choices = self.selector.estimate_all(self.tried)
         if not choices:
-            return Kind.NO_UPSTREAM
+            return self.refuse_without_upstream()
         now_ms = self.node.clock.now_ms()
         soonest_ms = min(each.latency_ms for each in choices)
         if now_ms + soonest_ms > self.sending.deadline_ms:
@@ -146,10 +146,31 @@
             return None
         left_ms = self.sending.deadline_ms - now_ms
         wait_ms = left_ms * admission_queue.MAX_WAIT_SHARE
-        if not queue.admits(self.route.priority, wait_ms):
+        if not queue.admits(
+            self.route.priority,
+            wait_ms,
+            self.selector.sends_within(choices, wait_ms),
+        ):
+            self.note_rate_limits()
             return Kind.OVERLOADED
         return await self.wait_in_queue(queue, now_ms + wait_ms)
 
+    def refuse_without_upstream(self) -> kinds.ErrorKind:
+        """Returns why no upstream may be used."""
+        if not self.node.rate_limiter.limited(self.service):
+            return Kind.NO_UPSTREAM
+        self.note_rate_limits()
+        return Kind.OVERLOADED
+
+    def note_rate_limits(self) -> None:
+        """Adds the rate limits that kept the request from being sent."""
+        now_ms = self.node.clock.now_ms()
+        for view in self.node.rate_limiter.limited(self.service):
+            self.steps.append(
+                f"rate-limited {view.upstream.upstream_id}"
+                f" wait={view.rate_wait_ms(now_ms):.0f}"
+            )
+
     async def wait_in_queue(
         self, queue: admission_queue.AdmissionQueue, give_up_ms: float
     ) -> kinds.ErrorKind | None:
@@ -267,7 +288,7 @@
                 ),
             )
         )
-        view.own_in_flight += 1
+        view.record_send(now_ms)
         self.tried.add(view.upstream.key)
         self.sends += 1
         if self.first_sent_ms is None:
--- a/src/lovageyoke/node/rate_limiter.py
+++ b/src/lovageyoke/node/rate_limiter.py
@@ -1,41 +1,84 @@
-"""Rate limits of the upstreams in this process."""
+"""Keeps requests within the rates that upstreams accept from the fleet."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Collection
+import math
+import random
 
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import exceptions
+from lovageyoke.fleet import members as fleet_members
+from lovageyoke.fleet import messages as fleet_messages
+from lovageyoke.fleet import transmissions
 from lovageyoke.hop import messages as hop_messages
 from lovageyoke.observe import events
 from lovageyoke.routing import load_view
 from lovageyoke.routing import rate_limit
+from lovageyoke.routing import rate_share
+
+MAX_CHANGED_LIMITS = 40  # Changed limits per message.
+ROUND_ROBIN_LIMITS = 3
+# An unchanged limit is sent again after this time, so that peers can order it
+# among older statements.
+REFRESH_MS = 1_000.0
+REPEAT_ENDED_MS = 60_000.0  # How long the end of a limit is repeated.
+SETTLED_MS = 10_000.0  # After this time all peers know this process.
+MS_PER_SECOND = 1_000.0
 
 DecodeRateLimit = Callable[[hop_messages.Headers], float | None]
+RequestHeartbeat = Callable[[bool], None]
 
 
 class RateLimiter:
-    """Records the rate limits that upstreams state.
+    """The upstreams' rate limits and this process's shares of them.
 
     Attributes:
         clock: Source of time.
+        rng: Source of random numbers.
         log: The event log.
         decode: Decodes the limit in the headers of a response.
-        views: The upstreams that have stated a limit, by key.
-        malformed: Keys of the upstreams whose last limit was malformed.
+        members: The processes of the fleet.
+        loads: The upstreams.
+        request_heartbeat: Requests a heartbeat at once; the argument tells
+            whether the other failure domains need it too.
+        started_ms: When this process started.
+        views: The upstreams that have stated a limit, by id.
+        malformed: Ids of the upstreams whose last limit was malformed.
+        local_updates: Selects the limits to send in the own failure domain.
+        remote_updates: The same for the other failure domains.
+        changes: Counter of changed limits.
+        share_inputs: What the current shares were computed from.
     """
 
     def __init__(
         self,
+        *,
         clock: clock_api.Clock,
+        rng: random.Random,
         log: events.EventLog,
         decode: DecodeRateLimit,
+        members: fleet_members.Members,
+        loads: load_view.LoadView,
+        request_heartbeat: RequestHeartbeat,
     ) -> None:
         self.clock = clock
+        self.rng = rng
         self.log = log
         self.decode = decode
-        self.views: dict[tuple[str, int], load_view.UpstreamView] = {}
-        self.malformed: set[tuple[str, int]] = set()
+        self.members = members
+        self.loads = loads
+        self.request_heartbeat = request_heartbeat
+        self.started_ms = clock.now_ms()
+        self.views: dict[str, load_view.UpstreamView] = {}
+        self.malformed: set[str] = set()
+        self.local_updates = transmissions.TransmissionQueue()
+        self.remote_updates = transmissions.TransmissionQueue()
+        self.changes = 0
+        self.share_inputs: tuple[object, ...] = ()
+
+    # Statements
 
     def record_response(
         self,
@@ -59,42 +102,227 @@
             return
         if per_s is None and view.rate_limit is None:
             return
-        known = self.limit_of(view)
-        before = known.statement
-        changed = known.apply_response(
+        self.malformed.discard(view.upstream.upstream_id)
+        limit = self.limit_of(view)
+        before = limit.statement
+        limit.apply_response(
             per_s,
             sent_ms=sent_ms,
             now_ms=self.clock.now_ms(),
             source=source,
         )
+        self.process_statement(view, before, source, is_local=True)
+
+    def record_peer_report(
+        self,
+        report: fleet_messages.RateLimitReport,
+        now_ms: float,
+        is_local: bool,
+    ) -> None:
+        """Records a limit received from a peer.
+
+        Args:
+            report: The limit.
+            now_ms: The time.
+            is_local: Whether the peer is in this failure domain.
+        """
+        view = self.loads.by_id.get(report.upstream_id)
+        if view is None or view.upstream.started_ms != report.started_ms:
+            # Another start of the upstream has no part in the limit.
+            return
+        limit = self.limit_of(view)
+        before = limit.statement
+        limit.apply_peer(
+            rate_limit.Statement(report.per_s, now_ms - report.age_ms)
+        )
+        self.process_statement(
+            view, before, rate_limit.Source.PEER, is_local=is_local
+        )
+
+    def process_statement(
+        self,
+        view: load_view.UpstreamView,
+        before: rate_limit.Statement,
+        source: rate_limit.Source,
+        *,
+        is_local: bool,
+    ) -> None:
+        """Logs and queues a statement if it is new.
+
+        Args:
+            view: The upstream.
+            before: The statement that was known before.
+            source: Where the statement comes from.
+            is_local: Whether the other failure domains need it.
+        """
+        limit = self.limit_of(view)
+        changed = limit.per_s != before.per_s
         if changed:
+            self.changes += 1
             self.log_change(view, before, source)
+        collecting = self.members.collecting_since_ms is not None
+        if source is rate_limit.Source.PEER and not collecting:
+            return
+        stated_ms = limit.statement.stated_ms
+        if not changed and stated_ms - limit.queued_ms < REFRESH_MS:
+            return
+        limit.queued_ms = stated_ms
+        self.local_updates.queue([view.upstream.upstream_id])
+        if is_local and collecting:
+            self.remote_updates.queue([view.upstream.upstream_id])
+        if changed:
+            self.request_heartbeat(is_local)
 
     def limit_of(self, view: load_view.UpstreamView) -> rate_limit.RateLimit:
         """Returns the limit of an upstream; adds one if it has none."""
         if view.rate_limit is None:
             view.rate_limit = rate_limit.RateLimit()
-            self.views[view.upstream.key] = view
+            self.views[view.upstream.upstream_id] = view
         return view.rate_limit
 
-    def keep_only(self, known: dict[str, load_view.UpstreamView]) -> None:
-        """Forgets the upstreams that no longer exist.
+    def forget_removed(self) -> None:
+        """Forgets the upstreams, or their starts, that no longer exist."""
+        known = self.loads.by_id
+        for upstream_id, view in list(self.views.items()):
+            if known.get(upstream_id) is not view:
+                del self.views[upstream_id]
+        self.malformed &= known.keys()
+
+    # Messages
+
+    def reports_to_send(
+        self, now_ms: float, is_remote: bool
+    ) -> tuple[fleet_messages.RateLimitReport, ...]:
+        """Returns the limits for the next heartbeat.
 
         Args:
-            known: The upstreams that exist, by id.
+            now_ms: The time.
+            is_remote: Whether it goes to the other failure domains.
         """
-        keys = {each.upstream.key for each in known.values()}
-        for key in [each for each in self.views if each not in keys]:
-            del self.views[key]
-        self.malformed &= keys
+        queue = self.remote_updates if is_remote else self.local_updates
+        upstream_ids = queue.take(MAX_CHANGED_LIMITS)
+        if self.members.collecting_since_ms is not None:
+            repeated = [
+                upstream_id
+                for upstream_id, view in self.views.items()
+                if is_repeated(view, now_ms)
+            ]
+            upstream_ids.extend(
+                queue.take_round_robin(repeated, ROUND_ROBIN_LIMITS)
+            )
+        found = (self.views.get(each) for each in upstream_ids)
+        return tuple(self.report(each, now_ms) for each in found if each)
+
+    def report(
+        self, view: load_view.UpstreamView, now_ms: float
+    ) -> fleet_messages.RateLimitReport:
+        """Returns the limit of an upstream for a message."""
+        statement = self.limit_of(view).statement
+        return fleet_messages.RateLimitReport(
+            view.upstream.upstream_id,
+            view.upstream.started_ms,
+            statement.per_s,
+            age_ms(statement, now_ms),
+        )
+
+    # Shares
+
+    def update_shares(self, now_ms: float) -> None:
+        """Recomputes the shares if any of their inputs has changed."""
+        if not self.views:
+            return
+        view = self.members.view(now_ms)
+        inputs = (
+            self.changes,
+            self.members.changes,
+            self.members.own.leaving,
+            view.size,
+            view.workers,
+        )
+        if inputs == self.share_inputs:
+            return
+        self.share_inputs = inputs
+        for each in self.views.values():
+            self.update_share(each, max(view.size, view.workers), now_ms)
+
+    def update_share(
+        self, view: load_view.UpstreamView, processes: int, now_ms: float
+    ) -> None:
+        """Recomputes this process's share of one limit."""
+        limit = self.limit_of(view)
+        interval_ms = None
+        if limit.per_s is not None:
+            position = self.members.duty_position(
+                view.upstream.upstream_id,
+                view.upstream.failure_domain,
+                now_ms,
+            )
+            interval_ms = rate_share.interval_ms(
+                limit.per_s, position, processes
+            )
+        limit.share.update(
+            interval_ms,
+            now_ms,
+            phase=self.rng.random(),
+            settled=now_ms - self.started_ms >= SETTLED_MS,
+        )
+
+    def additional_views(
+        self, service: str, views: Collection[load_view.UpstreamView]
+    ) -> list[load_view.UpstreamView]:
+        """Returns the upstreams that this process sends to for the fleet.
+
+        Only the senders of a limited upstream may use it, so they do so even
+        if it isn't in their subset.
+
+        Args:
+            service: The service.
+            views: The subset of this process.
+        """
+        return [
+            each
+            for each in self.limited(service)
+            if self.limit_of(each).is_sender
+            and not any(each is other for other in views)
+        ]
+
+    def limited(self, service: str) -> list[load_view.UpstreamView]:
+        """Returns the upstreams of a service that have a limit."""
+        return [
+            each
+            for each in self.views.values()
+            if each.upstream.service == service
+            and each.rate_limit is not None
+            and each.rate_limit.per_s is not None
+        ]
+
+    def retry_after_ms(self, service: str) -> float | None:
+        """Returns the mean time between two requests that a service accepts.
+
+        Returns:
+            The time, None if any upstream of the service has no limit.
+        """
+        upstreams = [
+            each
+            for each in self.loads.of_service(service)
+            if not each.upstream.draining
+        ]
+        limits = [each.rate_limit for each in upstreams]
+        rates = [each.per_s for each in limits if each is not None]
+        known = [each for each in rates if each is not None]
+        if not known or len(known) < len(upstreams):
+            return None
+        return MS_PER_SECOND / max(sum(known), rate_share.MIN_PER_S)
 
     def limited_count(self) -> int:
         """Returns the number of upstreams with a limit."""
         return sum(
-            each.rate_limit is not None and each.rate_limit.per_s is not None
+            self.limit_of(each).per_s is not None
             for each in self.views.values()
         )
 
+    # Log
+
     def log_change(
         self,
         view: load_view.UpstreamView,
@@ -102,26 +330,42 @@
         source: rate_limit.Source,
     ) -> None:
         """Logs that a limit was stated, has changed or has ended."""
-        now = self.limit_of(view).statement
+        statement = self.limit_of(view).statement
         self.log.event(
             "rate-limit",
             upstream=view.upstream.upstream_id,
             service=view.upstream.service,
-            per_s=now.per_s,
+            per_s=statement.per_s,
             before_per_s=before.per_s,
             source=source.value,
-            age_ms=round(self.clock.now_ms() - now.stated_ms),
+            age_ms=age_ms(statement, self.clock.now_ms()),
         )
 
     def log_malformed(
         self, view: load_view.UpstreamView, error: exceptions.DecodeError
     ) -> None:
         """Logs a malformed limit, once until a valid one is received."""
-        key = view.upstream.key
-        if key not in self.malformed:
-            self.malformed.add(key)
+        upstream_id = view.upstream.upstream_id
+        if upstream_id not in self.malformed:
+            self.malformed.add(upstream_id)
             self.log.event(
                 "rate-limit-malformed",
-                upstream=view.upstream.upstream_id,
+                upstream=upstream_id,
                 detail=str(error),
             )
+
+
+def age_ms(statement: rate_limit.Statement, now_ms: float) -> int:
+    """Returns the age of a statement, 0 if nothing was stated."""
+    if math.isinf(statement.stated_ms):
+        return 0
+    return max(0, round(now_ms - statement.stated_ms))
+
+
+def is_repeated(view: load_view.UpstreamView, now_ms: float) -> bool:
+    """Returns whether collectors keep sending the limit of an upstream."""
+    limit = view.rate_limit
+    if limit is None:
+        return False
+    ended = limit.per_s is None
+    return not ended or now_ms - limit.statement.stated_ms < REPEAT_ENDED_MS
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -107,7 +107,13 @@
         self.members = members
         self.loads = load_view.LoadView()
         self.rate_limiter = rate_limiter.RateLimiter(
-            clock, log, decode_rate_limit
+            clock=clock,
+            rng=rng,
+            log=log,
+            decode=decode_rate_limit,
+            members=members,
+            loads=self.loads,
+            request_heartbeat=self.request_heartbeat,
         )
         self.work = work_estimate.WorkEstimates()
         self.table: route_table.RouteTable | None = None
@@ -174,7 +180,7 @@
         for upstream_id in before - set(self.loads.by_id):
             self.unsent_reports.drop(upstream_id)
             self.unsent_remote_reports.drop(upstream_id)
-        self.rate_limiter.keep_only(self.loads.by_id)
+        self.rate_limiter.forget_removed()
 
     @property
     def configuration_version(self) -> int:
@@ -321,8 +327,17 @@
         told = max(view.sent_slowdown, MIN_PACE)
         change = max(pace, told) / max(MIN_PACE, min(pace, told))
         if change >= URGENT_PACE_CHANGE:
-            self.heartbeat_requested.set()
-            self.remote_heartbeat_requested |= is_local
+            self.request_heartbeat(is_local)
+
+    def request_heartbeat(self, is_local: bool) -> None:
+        """Requests a heartbeat at once.
+
+        Args:
+            is_local: Whether its cause comes from this failure domain, so
+                that the other domains need it too.
+        """
+        self.heartbeat_requested.set()
+        self.remote_heartbeat_requested |= is_local
 
     def record_failure(self, view: load_view.UpstreamView) -> None:
         """Queues a failed exchange for the peers."""
--- a/src/lovageyoke/node/upstream_selector.py
+++ b/src/lovageyoke/node/upstream_selector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+import math
 
 from lovageyoke.node import state as node_state
 from lovageyoke.routing import load_view
@@ -51,13 +52,22 @@
         """Latest start that meets the target at an upstream of usual pace."""
         return self.target_ms - placement.LATENCY_MARGIN * self.work.service_ms
 
+    def views(self) -> list[load_view.UpstreamView]:
+        """Returns the upstreams that this process may use."""
+        node = self.node
+        limiter = node.rate_limiter
+        limiter.update_shares(node.clock.now_ms())
+        subset = node.subset(self.service)
+        additional = limiter.additional_views(self.service, subset)
+        return subset + additional if additional else subset
+
     def estimate_all(
         self, tried: Collection[tuple[str, int]] = ()
     ) -> list[placement.Candidate]:
         """Returns estimates for all upstreams that were not tried."""
         node = self.node
         return placement.evaluate_all(
-            node.subset(self.service),
+            self.views(),
             self.work,
             failure_domain=node.failure_domain,
             default_slowdown=node.loads.mean_slowdown(self.service),
@@ -83,13 +93,12 @@
         """
         choices = self.estimate_all()
         now_ms = self.node.clock.now_ms()
-        work = self.work
         candidates = placement.with_free_capacity(
-            choices, work, self.target_ms - now_ms
+            choices, self.target_ms - now_ms
         )
         if not candidates and now_ms > self.latest_start_ms:
             candidates = placement.with_free_capacity(
-                choices, work, self.deadline_ms - now_ms
+                choices, self.deadline_ms - now_ms
             )
             if self.is_capacity_scarce(choices, now_ms):
                 candidates = placement.too_slow(
@@ -98,8 +107,28 @@
         if freed is not None:
             candidates = [each for each in candidates if each.view is freed]
         elif not self.takes_shared_capacity(candidates, was_queued):
-            return None
-        return placement.choose_weighted(candidates, work, self.node.rng)
+            # A rate limit reserves capacity for this process.
+            candidates = [
+                each for each in candidates if each.view.is_rate_limited()
+            ]
+        return placement.choose_weighted(candidates, self.node.rng)
+
+    def sends_within(
+        self, choices: list[placement.Candidate], duration_ms: float
+    ) -> float:
+        """Returns how many requests rate limits permit within a time.
+
+        Args:
+            choices: The upstreams to select from.
+            duration_ms: The time; infinitely many if any has no limit.
+        """
+        now_ms = self.node.clock.now_ms()
+        return sum(
+            each.view.rate_limit.share.sends_within(duration_ms, now_ms)
+            if each.view.rate_limit is not None
+            else math.inf
+            for each in choices
+        )
 
     def is_late(self) -> bool:
         """Returns whether an upstream of usual pace would miss the target."""
@@ -115,9 +144,7 @@
         """
         if self.node.queue(self.service).any_in_time(now_ms):
             return True
-        return placement.is_scarce(
-            choices, self.work, self.route.target_latency_ms
-        )
+        return placement.is_scarce(choices, self.route.target_latency_ms)
 
     def takes_shared_capacity(
         self, choices: list[placement.Candidate], was_queued: bool
@@ -133,9 +160,7 @@
         """
         node = self.node
         now_ms = node.clock.now_ms()
-        free = sum(
-            placement.free_capacity(each.view, self.work) for each in choices
-        )
+        free = sum(each.free for each in choices)
         report_age_ms = REPORT_AGE_SHARE * node.period_ms
         if was_queued:
             competitors = float(node.processes_waiting(self.service, now_ms))
@@ -152,6 +177,6 @@
         """Returns an upstream for a retry or hedge that meets the deadline."""
         left_ms = self.deadline_ms - self.node.clock.now_ms()
         choices = placement.with_free_capacity(
-            self.estimate_all(tried), self.work, left_ms
+            self.estimate_all(tried), left_ms
         )
-        return placement.choose_weighted(choices, self.work, self.node.rng)
+        return placement.choose_weighted(choices, self.node.rng)
--- a/src/lovageyoke/routing/load_view.py
+++ b/src/lovageyoke/routing/load_view.py
@@ -125,6 +125,27 @@
             reported + self.own_in_flight - self.own_in_flight_at_report,
         )
 
+    def rate_wait_ms(self, now_ms: float) -> float:
+        """Returns the time until the rate limit permits a send.
+
+        It is infinite if only other processes may send.
+        """
+        if self.rate_limit is None:
+            return 0.0
+        return self.rate_limit.share.wait_ms(now_ms)
+
+    def is_rate_limited(self) -> bool:
+        """Returns whether the upstream has a rate limit."""
+        return self.rate_limit is not None and (
+            self.rate_limit.per_s is not None
+        )
+
+    def record_send(self, now_ms: float) -> None:
+        """Records that this process sends a request to the upstream."""
+        self.own_in_flight += 1
+        if self.rate_limit is not None:
+            self.rate_limit.share.last_sent_ms = now_ms
+
     def slots(self) -> int:
         """Returns the requests that the upstream serves concurrently."""
         if self.report is not None and self.report.slots > 0:
--- a/src/lovageyoke/routing/placement.py
+++ b/src/lovageyoke/routing/placement.py
@@ -23,6 +23,7 @@
 CONTENTION_THRESHOLD = 0.8  # Many upstreams slow down above this load.
 NEGLIGIBLE_CONTENTION = 1.25
 MIN_WEIGHT_CAPACITY = 0.2
+RATE_LIMITED_CAPACITY = 1.0  # Requests are sent there one at a time.
 LATENCY_MARGIN = 1.25  # Slowdowns change while a request is served.
 # Fraction of the capacity that meets the target; less than this is used up
 # within the delay of one load message.
@@ -55,12 +56,16 @@
         view: The upstream.
         latency_ms: Expected time until the response.
         cost_ms: ``latency_ms`` plus the penalties of the upstream.
+        capacity: Concurrency up to which the upstream works efficiently.
+        free: How much of it is free now.
         cross_domain: Whether it runs in another failure domain.
     """
 
     view: load_view.UpstreamView
     latency_ms: float
     cost_ms: float
+    capacity: float
+    free: float
     cross_domain: bool = False
 
 
@@ -104,9 +109,9 @@
     return max(0.0, capacity(view, work) - view.load())
 
 
-def usable(view: load_view.UpstreamView) -> bool:
-    """Returns whether an upstream accepts new requests."""
-    return not view.upstream.draining
+def usable(view: load_view.UpstreamView, now_ms: float) -> bool:
+    """Returns whether an upstream accepts requests of this process."""
+    return not (view.upstream.draining or math.isinf(view.rate_wait_ms(now_ms)))
 
 
 def evaluate(
@@ -136,7 +141,18 @@
         or view.unanswered_probes >= load_view.MAX_UNANSWERED_PROBES
     ):
         cost_ms += UNHEALTHY_COST_MS
-    return Candidate(view, latency_ms, cost_ms, cross_domain)
+    capacity_now = capacity(view, work)
+    free = free_capacity(view, work)
+    if view.is_rate_limited():
+        # The limit permits one request now, or the next one after a wait.
+        wait_ms = view.rate_wait_ms(now_ms)
+        latency_ms += wait_ms
+        cost_ms += wait_ms
+        capacity_now = min(capacity_now, RATE_LIMITED_CAPACITY)
+        free = 0.0 if wait_ms > 0.0 else min(free, RATE_LIMITED_CAPACITY)
+    return Candidate(
+        view, latency_ms, cost_ms, capacity_now, free, cross_domain
+    )
 
 
 def evaluate_all(
@@ -161,25 +177,23 @@
     return [
         evaluate(view, work, failure_domain, default_slowdown, now_ms)
         for view in views
-        if usable(view) and view.upstream.key not in excluded
+        if usable(view, now_ms) and view.upstream.key not in excluded
     ]
 
 
 def with_free_capacity(
-    candidates: Iterable[Candidate], work: WorkEstimate, max_ms: float
+    candidates: Iterable[Candidate], max_ms: float
 ) -> list[Candidate]:
     """Returns candidates with free capacity that respond in time.
 
     Args:
         candidates: Upstreams to select from.
-        work: Expected resource use of the request.
         max_ms: Limit on the time until the response.
     """
     return [
         each
         for each in candidates
-        if LATENCY_MARGIN * each.latency_ms <= max_ms
-        and free_capacity(each.view, work) > 0.0
+        if LATENCY_MARGIN * each.latency_ms <= max_ms and each.free > 0.0
     ]
 
 
@@ -199,28 +213,25 @@
     ]
 
 
-def is_scarce(
-    candidates: list[Candidate], work: WorkEstimate, target_ms: float
-) -> bool:
+def is_scarce(candidates: list[Candidate], target_ms: float) -> bool:
     """Returns whether little capacity that meets the target is free.
 
     Args:
         candidates: Upstreams to select from.
-        work: Expected resource use of the request.
         target_ms: Latency target of a new request.
     """
     quick = [
-        each.view
+        each
         for each in candidates
         if LATENCY_MARGIN * each.latency_ms <= target_ms
     ]
-    free = sum(free_capacity(each, work) for each in quick)
-    total = sum(capacity(each, work) for each in quick)
+    free = sum(each.free for each in quick)
+    total = sum(each.capacity for each in quick)
     return free <= SCARCE_CAPACITY_SHARE * total
 
 
 def choose_weighted(
-    candidates: list[Candidate], work: WorkEstimate, rng: random.Random
+    candidates: list[Candidate], rng: random.Random
 ) -> Candidate | None:
     """Returns a weighted random candidate, or None if there is none.
 
@@ -230,14 +241,13 @@
 
     Args:
         candidates: Upstreams to select from.
-        work: Expected resource use of the request.
         rng: Source of random numbers.
     """
     if not candidates:
         return None
     best_ms = min(each.cost_ms for each in candidates)
     weights = [
-        max(MIN_WEIGHT_CAPACITY, free_capacity(each.view, work))
+        max(MIN_WEIGHT_CAPACITY, each.free)
         * (best_ms / each.cost_ms) ** LATENCY_EXPONENT
         * (CROSS_DOMAIN_WEIGHT if each.cross_domain else 1.0)
         for each in candidates
--- a/src/lovageyoke/routing/rate_limit.py
+++ b/src/lovageyoke/routing/rate_limit.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from lovageyoke.routing import rate_share
+
 # Statements closer to each other than the delay of a message have no known
 # order; the first one is kept.
 ORDER_TOLERANCE_MS = 50.0
@@ -43,6 +45,8 @@
 
     Attributes:
         statement: The newest statement.
+        share: The share of this process.
+        queued_ms: When the statement last queued for the peers was received.
         in_health_checks: Whether the upstream states limits in the responses
             to health checks too. Only then does a health check without one
             end the limit.
@@ -50,12 +54,20 @@
 
     statement: Statement = Statement(None, -math.inf)
     in_health_checks: bool = False
+    share: rate_share.RateShare = attrs.field(factory=rate_share.RateShare)
+    queued_ms: float = -math.inf
 
     @property
     def per_s(self) -> float | None:
         """The limit, None if there is none."""
         return self.statement.per_s
 
+    @property
+    def is_sender(self) -> bool:
+        """Whether this process sends requests to the upstream."""
+        interval_ms = self.share.interval_ms
+        return interval_ms is None or math.isfinite(interval_ms)
+
     def apply_response(
         self,
         per_s: float | None,
--- a/tests/fleet/test_collectors.py
+++ b/tests/fleet/test_collectors.py
@@ -11,6 +11,7 @@
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import queue_counts
 from lovageyoke.fleet import state_updates
+from lovageyoke.fleet import transmissions
 
 SILENT_MS = collectors.SILENT_MS
 
@@ -162,7 +163,7 @@
     members.apply_heartbeat(heartbeat_of("b1", "b"), 0.0)
     updates = state_updates.StateUpdates(members, own_domain_only=True)
     updates.queue({"n2", "b1"})
-    for _ in range(state_updates.TRANSMISSIONS):
+    for _ in range(transmissions.TRANSMISSIONS):
         sent = [
             each.peer.node_id for each in updates.next_states(round_robin=False)
         ]
--- a/tests/node/test_rate_limiter.py
+++ b/tests/node/test_rate_limiter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 
 import httpx
@@ -37,6 +38,7 @@
     harness: conftest.ProcessHarness, log_reader: int
 ) -> None:
     harness.upstreams[1].always = "shed"
+    harness.node.rate_limiter.started_ms = -math.inf
     harness.upstreams[0].limits = [b"1000"]
     await harness.send_request(identity="r1")
     harness.upstreams[0].limits = [b"2000"]
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -50,7 +50,7 @@
     choices = evaluate(views, work)
     counter: collections.Counter[str] = collections.Counter()
     for _ in range(1_000):
-        choice = placement.choose_weighted(choices, work, rng)
+        choice = placement.choose_weighted(choices, rng)
         assert choice is not None
         counter[choice.view.upstream.upstream_id] += 1
     return counter
@@ -98,7 +98,7 @@
     choices = evaluate(
         [view("full", running=6), view("slow", slowdown=7.0), view("good")]
     )
-    good = placement.with_free_capacity(choices, WORK, max_ms=300.0)
+    good = placement.with_free_capacity(choices, max_ms=300.0)
     names = [each.view.upstream.upstream_id for each in good]
     assert_that(names, matchers.Equals(["good"]))
 
@@ -108,7 +108,7 @@
         [view("quick", running=3), view("full", running=6), view("slow", 0, 7)]
     )
     assert_that(
-        placement.is_scarce(choices, WORK, target_ms=300.0),
+        placement.is_scarce(choices, target_ms=300.0),
         matchers.Equals(True),
     )
     left = placement.too_slow(choices, target_ms=300.0)
@@ -119,7 +119,7 @@
 def test_fast_upstreams_with_free_capacity_are_not_scarce() -> None:
     choices = evaluate([view("quick"), view("busy", running=4)])
     assert_that(
-        placement.is_scarce(choices, WORK, target_ms=300.0),
+        placement.is_scarce(choices, target_ms=300.0),
         matchers.Equals(False),
     )
 
