Send no request where an earlier refusal could answer it

Another operator's report: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that had run. It could happen here: a response is matched by the request's ID alone, so a copy that arrives after the next send answers it if both have the same ID (a caller's own retry) or none.

A connection now remembers the IDs that were answered with an error and isn't reused for them, nor for a request without an ID; after 16 such answers it is closed. Refusals under other IDs still leave the connection open, so an overloaded upstream isn't met with new connections. The test failed before: the pool handed out the connection in both cases.

--- a/src/lovageyoke/hop/attempt.py
+++ b/src/lovageyoke/hop/attempt.py
@@ -173,8 +173,12 @@
     ) -> hop_connection.ClientConnection:
         """Returns an idle connection or a new one."""
         now_ms = self.clock.now_ms()
-        recent_only = not prepared.repeatable
-        connection = self.pool.take(upstream, now_ms, recent_only)
+        connection = self.pool.take(
+            upstream,
+            now_ms,
+            recent_only=not prepared.repeatable,
+            request_id=prepared.request_id,
+        )
         if connection is not None:
             return connection
         left_ms = prepared.deadline_ms - now_ms
--- a/src/lovageyoke/hop/connection.py
+++ b/src/lovageyoke/hop/connection.py
@@ -19,6 +19,8 @@
 STREAMING_THRESHOLD_BYTES = 1_048_576
 MAX_HEAD_BYTES = 65_536
 NO_BODY_STATUSES = frozenset({204, 304})
+# A faulty peer may repeat any earlier refusal, so each one is remembered.
+MAX_REFUSALS = 16
 # TCP user timeout, after which the connection to a dead peer is closed.
 USER_TIMEOUT_MS = 10_000
 
@@ -59,6 +61,7 @@
         transport: The transport, None before the connection is made.
         exchange: The exchange in progress, if any.
         responses_received: Number of responses received over the connection.
+        refused_ids: IDs of the requests that were answered with an error.
         idle_since_ms: Set by the pool when the connection is put back.
         keep_alive_ms: Idle timeout announced by the peer, None if absent.
         closed: Whether the connection is lost.
@@ -71,6 +74,7 @@
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.responses_received = 0
+        self.refused_ids: set[bytes | None] = set()
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
         self.closed = False
@@ -234,6 +238,19 @@
             or self.transport.get_write_buffer_size() > 0
         )
 
+    def distinguishes(self, request_id: bytes | None) -> bool:
+        """Returns whether a repeated earlier response would be recognised.
+
+        A response is matched to its request by the ID alone, so a request
+        needs one that was not refused before on the same connection.
+
+        Args:
+            request_id: ID of the next request, None if it has none.
+        """
+        if request_id is None:
+            return self.responses_received == 0
+        return request_id not in self.refused_ids
+
     def abort(self) -> None:
         """Closes the connection immediately, without flushing."""
         self.must_close = True
@@ -320,10 +337,16 @@
         if exchange is None:
             return
         self.responses_received += 1
+        if self.status >= messages.FIRST_ERROR_STATUS:
+            self.refused_ids.add(exchange.request_id)
         self.keep_alive_ms = keep_alive_timeout_ms(self.headers)
         response = self.response(b"".join(self.chunks))
         self.chunks = []
-        if self.close_delimited or not self.parser.should_keep_alive():
+        if (
+            self.close_delimited
+            or not self.parser.should_keep_alive()
+            or len(self.refused_ids) >= MAX_REFUSALS
+        ):
             self.must_close = True
         response.reusable = not self.must_close
         if not exchange.future.done():
--- a/src/lovageyoke/hop/messages.py
+++ b/src/lovageyoke/hop/messages.py
@@ -8,6 +8,7 @@
 
 FIRST_FINAL_STATUS = 200  # 1xx responses precede the final response.
 FIRST_REDIRECT_STATUS = 300
+FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1).
--- a/src/lovageyoke/hop/pool.py
+++ b/src/lovageyoke/hop/pool.py
@@ -34,7 +34,12 @@
         self.opened = 0
 
     def take(
-        self, upstream: model.Upstream, now_ms: float, recent_only: bool
+        self,
+        upstream: model.Upstream,
+        now_ms: float,
+        *,
+        recent_only: bool,
+        request_id: bytes | None,
     ) -> hop_connection.ClientConnection | None:
         """Returns an idle connection to an upstream, None if there is none.
 
@@ -43,17 +48,20 @@
             now_ms: The current time.
             recent_only: Whether to return only a recently used connection;
                 set for requests that cannot be retried.
+            request_id: ID of the request, None if it has none.
         """
-        connections = self.idle.get(upstream.key)
-        while connections:
-            candidate = connections[-1]
+        connections = self.idle.get(upstream.key, [])
+        for candidate in connections[::-1]:
             idle_ms = now_ms - candidate.idle_since_ms
             if not candidate.usable() or idle_ms > idle_timeout_ms(candidate):
-                connections.pop().close()
+                connections.remove(candidate)
+                candidate.close()
                 continue
             if recent_only and idle_ms > RECENT_USE_MS:
                 return None
-            return connections.pop()
+            if candidate.distinguishes(request_id):
+                connections.remove(candidate)
+                return candidate
         return None
 
     def put(
--- a/tests/hop/test_connection.py
+++ b/tests/hop/test_connection.py
@@ -19,6 +19,8 @@
 from lovageyoke.errors import kinds
 from lovageyoke.hop import connection as hop_connection
 from lovageyoke.hop import messages
+from lovageyoke.hop import pool as hop_pool
+from lovageyoke.routing import model
 
 pytestmark = pytest.mark.anyio
 
@@ -186,6 +188,75 @@
             await connection.send_request(HEAD, b"", b"two")
 
 
+async def test_a_copy_of_a_refusal_is_not_taken_for_the_next_answer(
+    upstream: ScriptedUpstream,
+) -> None:
+    refusal = (
+        b"HTTP/1.1 503 Busy\r\n%bX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    pool = hop_pool.ConnectionPool()
+    target = model.Upstream("u1", 1, "maps", "127.0.0.1", 80, "a", 6)
+    for first_id in (b"one", None):
+        identity = b"X-Id: one\r\n" if first_id else b""
+        upstream.script = [refusal % identity, b""]
+        opened = await hop_connection.connect(
+            "127.0.0.1", upstream.port, b"x-id", 1_000.0
+        )
+        async with asyncio.timeout(2.0):
+            await opened.send_request(HEAD, b"", first_id)
+        pool.put(target, opened, 0.0)
+        again = pool.take(target, 0.0, recent_only=False, request_id=first_id)
+        assert_that(again, matchers.Is(None))
+        other = pool.take(target, 0.0, recent_only=False, request_id=b"two")
+        assert_that(other, matchers.Is(opened))
+        opened.abort()
+
+
+async def test_a_connection_is_closed_after_many_refusals(
+    upstream: ScriptedUpstream, connection: hop_connection.ClientConnection
+) -> None:
+    ids = [b"%d" % number for number in range(hop_connection.MAX_REFUSALS)]
+    upstream.script = [
+        b"HTTP/1.1 503 Busy\r\nX-Id: %b\r\nContent-Length: 0\r\n\r\n" % each
+        for each in ids
+    ]
+    for each in ids:
+        assert_that(connection.usable(), matchers.Equals(True))
+        await exchange(connection, each)
+    assert_that(connection.usable(), matchers.Equals(False))
+
+
+@pytest.mark.parametrize(
+    "whole",
+    [
+        response(),
+        b"HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\n",
+        b"HTTP/1.1 206 Partial\r\nX-Id: one\r\nContent-Range: bytes 1-2/9\r\n"
+        b"Content-Length: 2\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nX-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n0\r\nX-Sum: 1\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: one\r\n\r\n",
+    ],
+    ids=["length", "no-length", "partial", "trailer", "after-100"],
+)
+@pytest.mark.parametrize("kept", [False, True], ids=["new", "kept"])
+async def test_a_head_cut_short_is_never_a_whole_response(
+    upstream: ScriptedUpstream, whole: bytes, kept: bool
+) -> None:
+    end = len(whole) if b"ength" in whole or b"chunked" in whole else None
+    head_bytes = whole.rindex(b"\r\n\r\n") + 4
+    upstream.on_end = lambda writer: writer.close()
+    for size in range(end or head_bytes):
+        upstream.script = [response(b"first")] * kept + [whole[:size]]
+        connection = await hop_connection.connect(
+            "127.0.0.1", upstream.port, b"x-id", 1_000.0
+        )
+        if kept:
+            await exchange(connection, b"first")
+        with pytest.raises(exceptions.UpstreamError):
+            await exchange(connection)
+
+
 async def test_keep_alive_timeout_is_parsed(
     upstream: ScriptedUpstream, connection: hop_connection.ClientConnection
 ) -> None:
