Refuse late in a planned stop what can't be answered any more

Another operator's report: requests that came late in the grace of a planned stop were taken, passed on and cut with no answer. It could happen here: with one long download in progress the listener stays open to the end, and an unsafe request that arrived 4.9 s into a grace of 6 s ran and got no answer.

After the first three seconds (or half a shorter grace) a request is accepted only if its answer is due, by the caller's deadline or the route's timeout, before the process ends. The others get 503 at once with Connection: close and a short Retry-After, as any other process can serve them.

--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -81,6 +81,9 @@
         now_ms = self.node.clock.now_ms()
         self.node.retry_budget(service).record_request(now_ms)
         race = self.create_race(request, route, service, caller)
+        if not self.can_answer(race):
+            self.send_error(request, caller, Kind.LEAVING, race)
+            return
         self.races[id(request)] = race
         try:
             outcome = await race.run()
@@ -139,6 +142,13 @@
         route = self.node.table.find(hosts[0].decode("latin-1"), request.path)
         return Kind.UNKNOWN_SERVICE if route is None else route
 
+    def can_answer(self, race: node_race.Race) -> bool:
+        """Returns whether a request will be answered before a planned stop."""
+        stop = self.node.shutdown
+        return stop is None or stop.accepts(
+            race.arrived_ms, race.sending.deadline_ms
+        )
+
     def create_race(
         self,
         request: messages.Request,
@@ -233,7 +243,8 @@
         if table.response_for(kind).retry_after_s is None:
             return None
         wait_ms = MIN_RETRY_AFTER_MS
-        if race is not None:
+        # Another process can serve the request while this one is leaving.
+        if race is not None and kind is not Kind.LEAVING:
             limited_ms = self.node.rate_limiter.retry_after_ms(race.service)
             if limited_ms is not None:
                 wait_ms = min(limited_ms, MAX_RATE_RETRY_AFTER_MS)
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -14,6 +14,7 @@
 from lovageyoke.fleet import replica as fleet_replica
 from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import server as hop_server
+from lovageyoke.limits import shutdown
 from lovageyoke.node import directory_handler
 from lovageyoke.node import forwarder as node_forwarder
 from lovageyoke.node import messenger as node_messenger
@@ -27,8 +28,6 @@
 
 CLEANUP_INTERVAL_MS = 1_000.0
 RELOAD_INTERVAL_MS = 5_000.0  # The settings file may change without a signal.
-STOP_MARGIN_MS = 600.0  # Reserve before the end of the grace period.
-MIN_SHUTDOWN_MS = 3_000.0  # Callers may still send requests after the signal.
 LEASE_MS = 60_000.0  # For discovery only, not for failure detection.
 # During a start several processes may be collectors for a moment; none of
 # them registers before this delay.
@@ -281,7 +280,11 @@
 
     def stop(self) -> None:
         """Starts the shutdown."""
-        self.node.leaving = True
+        node = self.node
+        if node.shutdown is None:
+            node.shutdown = shutdown.Shutdown(
+                node.clock.now_ms(), node.settings.bounds.grace_ms
+            )
         self.stopping.set()
 
     def reload(self) -> None:
@@ -319,12 +322,13 @@
         progress are completed, but not beyond the grace period.
         """
         node = self.node
-        started_ms = node.clock.now_ms()
-        end_ms = started_ms + node.settings.bounds.grace_ms - STOP_MARGIN_MS
+        stop = node.shutdown or shutdown.Shutdown(
+            node.clock.now_ms(), node.settings.bounds.grace_ms
+        )
         node.log.event("stopping", connections=len(self.connections.open))
         self.messenger.send_heartbeats()
-        while node.clock.now_ms() < end_ms:
-            may_end = node.clock.now_ms() - started_ms >= MIN_SHUTDOWN_MS
+        while node.clock.now_ms() < stop.end_ms:
+            may_end = node.clock.now_ms() >= stop.accepts_all_until_ms
             if may_end and not self.connections.open:
                 break
             if may_end and self.connections.in_flight == 0:
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -12,6 +12,7 @@
 from lovageyoke.fleet import queue_counts
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.limits import admission_queue as limits_queue
+from lovageyoke.limits import shutdown
 from lovageyoke.node import rate_limiter
 from lovageyoke.node import settings as node_settings
 from lovageyoke.node import unsent_reports
@@ -65,7 +66,7 @@
         caller_waits: Estimates how long callers have waited before.
         retry_budgets: Retry budgets by service.
         upstreams_known: Whether a list of upstreams was received.
-        leaving: Whether the process is shutting down.
+        shutdown: The planned stop in progress, if any.
         unsent_reports: Reports for the next heartbeat.
         unsent_remote_reports: The same for the other failure domains.
         own_reported_failures: Recently sent failures by upstream number. The
@@ -122,7 +123,7 @@
         self.caller_waits = caller_wait.CallerWaitEstimator()
         self.retry_budgets: dict[str, window_budget.WindowBudget] = {}
         self.upstreams_known = False
-        self.leaving = False
+        self.shutdown: shutdown.Shutdown | None = None
         self.unsent_reports = unsent_reports.UnsentReports()
         self.unsent_remote_reports = unsent_reports.UnsentReports()
         self.own_reported_failures: dict[int, int] = {}
@@ -145,6 +146,11 @@
         """The failure domain of this process."""
         return self.settings.failure_domain
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this process is shutting down."""
+        return self.shutdown is not None
+
     @property
     def ready(self) -> bool:
         """Whether this process accepts callers' requests."""
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -10,6 +10,7 @@
 from tests.fleet import scenarios
 
 from lovageyoke.fleet import members as fleet_members
+from lovageyoke.limits import shutdown
 
 
 @pytest.mark.parametrize(
@@ -72,7 +73,7 @@
 def test_a_leaving_collector_is_replaced_immediately() -> None:
     fleet = scenarios.fleet_of(scenarios.SMALL)
     (collector,) = fleet.collectors("domain-0")
-    collector.node.leaving = True
+    collector.node.shutdown = shutdown.Shutdown(fleet.clock.now_ms(), 6_000.0)
     collector.messenger.send_heartbeats()
     fleet.run(100.0)
     collector.stop()
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -255,6 +255,30 @@
     assert_that(ready.status_code, matchers.Equals(503))
 
 
+async def test_a_late_request_in_a_planned_stop_is_refused_not_cut(
+    harness: conftest.ProcessHarness,
+) -> None:
+    harness.bounds = node_settings.Bounds(grace_ms=4_000.0)
+    os.kill(os.getpid(), signal.SIGHUP)
+    await harness.wait_until(
+        lambda: harness.node.settings.bounds == harness.bounds
+    )
+    harness.set_upstream_behavior("hang")
+    pending = asyncio.ensure_future(harness.send_request(deadline="9000"))
+    await harness.wait_until(lambda: harness.arrival_count() == 1)
+    os.kill(os.getpid(), signal.SIGTERM)
+    await asyncio.sleep(2.1)
+    late = await harness.send_request("/unsafe/x", "POST", "late")
+    assert_that(late.status_code, matchers.Equals(503))
+    assert_that(late.headers["connection"], matchers.Equals("close"))
+    assert_that(float(late.headers["retry-after"]), matchers.LessThan(1.0))
+    assert_that(harness.arrival_count("late"), matchers.Equals(0))
+    harness.set_upstream_behavior("slow")
+    quick = await harness.send_request(identity="quick", deadline="400")
+    assert_that(quick.status_code, matchers.Equals(200))
+    pending.cancel()
+
+
 async def test_a_request_without_a_configuration_is_refused(
     log_descriptor: int,
 ) -> None:
