--- a/src/lovageyoke/hop/connection.py
+++ b/src/lovageyoke/hop/connection.py
@@ -339,7 +339,7 @@
         self.responses_received += 1
         if self.status >= messages.FIRST_ERROR_STATUS:
             self.refused_ids.add(exchange.request_id)
-        self.keep_alive_ms = keep_alive_timeout_ms(self.headers)
+        self.keep_alive_ms = messages.keep_alive_timeout_ms(self.headers)
         response = self.response(b"".join(self.chunks))
         self.chunks = []
         if (
@@ -366,18 +366,6 @@
             )
 
 
-def keep_alive_timeout_ms(headers: messages.Headers) -> float | None:
-    """Returns the Keep-Alive timeout in milliseconds, None if absent."""
-    value = messages.first_value(headers, b"keep-alive")
-    if value is None:
-        return None
-    for parameter in value.split(b","):
-        name, _, seconds = parameter.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.isdigit():
-            return int(seconds) * 1_000.0
-    return None
-
-
 async def connect(
     host: str, port: int, identity_header: bytes, timeout_ms: float
 ) -> ClientConnection:
--- a/src/lovageyoke/hop/messages.py
+++ b/src/lovageyoke/hop/messages.py
@@ -90,6 +90,18 @@
     return None
 
 
+def keep_alive_timeout_ms(headers: Headers) -> float | None:
+    """Returns the Keep-Alive timeout in milliseconds, None if absent."""
+    value = first_value(headers, b"keep-alive")
+    if value is None:
+        return None
+    for parameter in value.split(b","):
+        name, _, seconds = parameter.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.isdigit():
+            return int(seconds) * 1_000.0
+    return None
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Returns the headers without the hop-by-hop ones."""
     dropped = set(HOP_BY_HOP)
--- a/src/lovageyoke/node/feedback.py
+++ b/src/lovageyoke/node/feedback.py
@@ -57,7 +57,7 @@
     usual = node.loads.mean_slowdown(service)
     attempt.progress.advance(view.slowdown(now_ms, usual), now_ms)
     if report is not None:
-        node.record_report(view, report, now_ms)
+        node.reports.record_report(view, report, now_ms)
         # The response frees a slot that a queued request of another process
         # may need, so the report is sent without waiting for the period.
         node.heartbeat_requested.set()
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -189,7 +189,7 @@
         own = self.node.waiting_counts()
         return attrs.evolve(
             self.heartbeat(now_ms),
-            reports=self.node.reports_to_send(now_ms),
+            reports=self.node.reports.reports_to_send(now_ms),
             rate_limits=self.node.rate_limiter.reports_to_send(
                 now_ms, is_remote=False
             ),
@@ -212,7 +212,7 @@
         own = self.node.waiting_counts()
         return attrs.evolve(
             self.heartbeat(now_ms),
-            reports=self.node.remote_reports_to_send(
+            reports=self.node.reports.remote_reports_to_send(
                 now_ms, MAX_REMOTE_REPORTS
             ),
             rate_limits=self.node.rate_limiter.reports_to_send(
@@ -341,6 +341,6 @@
         sender = message.sender.peer
         is_local = sender.failure_domain == members.domain
         for report in message.reports:
-            self.node.record_peer_report(report, now_ms, is_local)
+            self.node.reports.record_peer_report(report, now_ms, is_local)
         for limit in message.rate_limits:
             self.node.rate_limiter.record_peer_report(limit, now_ms, is_local)
--- a/src/lovageyoke/node/outcomes.py
+++ b/src/lovageyoke/node/outcomes.py
@@ -60,3 +60,21 @@
         # The last attempt didn't run it, but an earlier one may have.
         return Outcome(None, Kind.UPSTREAM_RESET)
     return Outcome(None, Kind.OVERLOADED)
+
+
+def permits_retry(
+    kind: kinds.ErrorKind, repeatable: bool, may_have_run: bool
+) -> bool:
+    """Returns whether a request may be sent again after an error.
+
+    Args:
+        kind: The error.
+        repeatable: Whether the request may run more than once.
+        may_have_run: Whether an upstream may have run the request.
+    """
+    if may_have_run and not repeatable:
+        return False
+    retry = table.response_for(kind).retry
+    if retry is table.Retry.ANY:
+        return True
+    return retry is table.Retry.REPEATABLE and repeatable
--- a/src/lovageyoke/node/prober.py
+++ b/src/lovageyoke/node/prober.py
@@ -216,7 +216,7 @@
         view.unanswered_probes += 1
         now_ms = self.node.clock.now_ms()
         view.record_outcome(True, now_ms)
-        self.node.record_failure(view)
+        self.node.reports.record_failure(view)
         if view.unanswered_probes == load_view.MAX_UNANSWERED_PROBES:
             self.node.log.event(
                 "upstream-silent", upstream=view.upstream.upstream_id
@@ -256,10 +256,10 @@
             )
         if unhealthy:
             view.record_outcome(True, now_ms)
-            self.node.record_failure(view)
+            self.node.reports.record_failure(view)
         report = self.node.decode_load(response.header(names.load))
         if report is not None:
-            self.node.record_report(view, report, now_ms)
+            self.node.reports.record_report(view, report, now_ms)
         self.node.rate_limiter.record_response(
             view, response.headers, sent_ms, rate_limit.Source.HEALTH_CHECK
         )
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -249,7 +249,7 @@
             self.node.peak_lag_ms = max(
                 lag_ms, self.node.peak_lag_ms * LAG_DECAY
             )
-            self.node.own_reported_failures.clear()
+            self.node.reports.own_reported_failures.clear()
             self.node.client.pool.expire(now_ms)
             self.node.members.forget_gone(now_ms)
 
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -113,7 +113,9 @@
             if not self.running:
                 refusal = self.retry()
                 if refusal is not None:
-                    return self.failure_outcome(refusal)
+                    return outcomes.after_failures(
+                        refusal, self.last_response, self.may_have_run
+                    )
             else:
                 self.consider_hedge()
 
@@ -133,7 +135,9 @@
         """
         choices = self.selector.estimate_all(self.tried)
         if not choices:
-            return self.refuse_without_upstream()
+            limits = self.node.rate_limiter.story(self.service)
+            self.steps.extend(limits)
+            return Kind.OVERLOADED if limits else Kind.NO_UPSTREAM
         now_ms = self.node.clock.now_ms()
         soonest_ms = min(each.latency_ms for each in choices)
         if now_ms + soonest_ms > self.sending.deadline_ms:
@@ -151,26 +155,10 @@
             wait_ms,
             self.selector.sends_within(choices, wait_ms),
         ):
-            self.note_rate_limits()
+            self.steps.extend(self.node.rate_limiter.story(self.service))
             return Kind.OVERLOADED
         return await self.wait_in_queue(queue, now_ms + wait_ms)
 
-    def refuse_without_upstream(self) -> kinds.ErrorKind:
-        """Returns why no upstream may be used."""
-        if not self.node.rate_limiter.limited(self.service):
-            return Kind.NO_UPSTREAM
-        self.note_rate_limits()
-        return Kind.OVERLOADED
-
-    def note_rate_limits(self) -> None:
-        """Adds the rate limits that kept the request from being sent."""
-        now_ms = self.node.clock.now_ms()
-        for view in self.node.rate_limiter.limited(self.service):
-            self.steps.append(
-                f"rate-limited {view.upstream.upstream_id}"
-                f" wait={view.rate_wait_ms(now_ms):.0f}"
-            )
-
     async def wait_in_queue(
         self, queue: admission_queue.AdmissionQueue, give_up_ms: float
     ) -> kinds.ErrorKind | None:
@@ -246,12 +234,9 @@
         """Returns whether the request may be retried after an error."""
         if self.sends >= self.route.max_attempts:
             return False
-        if self.may_have_run and not self.sending.repeatable:
-            return False
-        retry = table.response_for(kind).retry
-        if retry is table.Retry.ANY:
-            return True
-        return retry is table.Retry.REPEATABLE and self.sending.repeatable
+        return outcomes.permits_retry(
+            kind, self.sending.repeatable, self.may_have_run
+        )
 
     def spend_retry_budget(self) -> bool:
         """Takes a retry from the service's budget; returns False if empty."""
@@ -269,11 +254,9 @@
         pace = view.slowdown(now_ms, usual)
         queue_ms = choice.latency_ms - pace * work.service_ms
         self.steps.append(
-            f"{'hedge' if hedge else 'send'} {view.upstream.upstream_id}"
-            f" at={now_ms - self.arrived_ms:.0f}"
-            f" pace={pace:.1f} load={view.load()}"
-            f"/{view.slots()} age={min(now_ms - view.reported_ms, 99999):.0f}"
-            f" expect={choice.latency_ms:.0f}"
+            attempts.story_step(
+                choice, hedge, pace, now_ms, now_ms - self.arrived_ms
+            )
         )
         delivery = hop_attempt.DispatchState()
         sink = None if hedge else self.sink
@@ -361,7 +344,7 @@
         elif not not_run:
             self.may_have_run = True
         attempt.view.record_outcome(True, now_ms)
-        self.node.record_failure(attempt.view)
+        self.node.reports.record_failure(attempt.view)
 
     # Hedging
 
@@ -408,16 +391,10 @@
             self.node.offer_slot(self.service, attempt.view)
             if attempt.progress.done > OVERDUE_FAILURE_FACTOR:
                 attempt.view.record_outcome(True, now_ms)
-                self.node.record_failure(attempt.view)
+                self.node.reports.record_failure(attempt.view)
         self.running = []
 
     def deadline_outcome(self) -> outcomes.Outcome:
         """Returns the outcome after the deadline has passed."""
         self.steps.append("deadline")
         return outcomes.at_deadline(self.was_sent())
-
-    def failure_outcome(self, kind: kinds.ErrorKind) -> outcomes.Outcome:
-        """Returns the outcome after the last attempt has failed."""
-        return outcomes.after_failures(
-            kind, self.last_response, self.may_have_run
-        )
--- a/src/lovageyoke/node/rate_limiter.py
+++ b/src/lovageyoke/node/rate_limiter.py
@@ -296,6 +296,15 @@
             and each.rate_limit.per_s is not None
         ]
 
+    def story(self, service: str) -> list[str]:
+        """Returns the limits of a service's upstreams for a request's log."""
+        now_ms = self.clock.now_ms()
+        return [
+            f"rate-limited {each.upstream.upstream_id}"
+            f" wait={each.rate_wait_ms(now_ms):.0f}"
+            for each in self.limited(service)
+        ]
+
     def retry_after_ms(self, service: str) -> float | None:
         """Returns the mean time between two requests that a service accepts.
 
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -8,14 +8,13 @@
 
 from lovageyoke.clock import api as clock_api
 from lovageyoke.fleet import members as fleet_members
-from lovageyoke.fleet import messages
 from lovageyoke.fleet import queue_counts
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.limits import admission_queue as limits_queue
 from lovageyoke.limits import shutdown
 from lovageyoke.node import rate_limiter
+from lovageyoke.node import report_exchange
 from lovageyoke.node import settings as node_settings
-from lovageyoke.node import unsent_reports
 from lovageyoke.observe import events
 from lovageyoke.observe import exposition
 from lovageyoke.retry import caller_wait
@@ -27,15 +26,6 @@
 from lovageyoke.routing import subset
 from lovageyoke.routing import work_estimate
 
-# A pace that changes by this factor is sent at once, as requests should move
-# to other upstreams.
-URGENT_PACE_CHANGE = 1.5
-# A report that is newer by no more than this is the known report, received
-# back from a collector.
-ECHO_TOLERANCE_MS = 5.0
-MAX_REPORTED_FAILURES = 8  # Failures of an upstream counted per message.
-
-MIN_PACE = 0.01
 PRIOR_REQUESTS = 0.5
 MIN_OBSERVED_MS = 1_000.0
 MS_PER_SECOND = 1_000.0
@@ -67,10 +57,7 @@
         retry_budgets: Retry budgets by service.
         upstreams_known: Whether a list of upstreams was received.
         shutdown: The planned stop in progress, if any.
-        unsent_reports: Reports for the next heartbeat.
-        unsent_remote_reports: The same for the other failure domains.
-        own_reported_failures: Recently sent failures by upstream number. The
-            collector sends them back; they must not be counted twice.
+        reports: Load reports exchanged with the peers.
         period_ms: Time between two heartbeats and between health checks of
             the busiest service.
         phase_ms: Offset of the heartbeats and health checks in the period.
@@ -124,9 +111,9 @@
         self.retry_budgets: dict[str, window_budget.WindowBudget] = {}
         self.upstreams_known = False
         self.shutdown: shutdown.Shutdown | None = None
-        self.unsent_reports = unsent_reports.UnsentReports()
-        self.unsent_remote_reports = unsent_reports.UnsentReports()
-        self.own_reported_failures: dict[int, int] = {}
+        self.reports = report_exchange.ReportExchange(
+            members, self.loads, self.request_heartbeat
+        )
         self.period_ms = probe_interval.MIN_INTERVAL_MS
         self.phase_ms = rng.uniform(0.0, probe_interval.MIN_INTERVAL_MS)
         self.peak_lag_ms = 0.0
@@ -184,8 +171,7 @@
         self.loads.replace_upstreams(upstreams, self.clock.now_ms())
         self.upstreams_known = True
         for upstream_id in before - set(self.loads.by_id):
-            self.unsent_reports.drop(upstream_id)
-            self.unsent_remote_reports.drop(upstream_id)
+            self.reports.drop(upstream_id)
         self.rate_limiter.forget_removed()
 
     @property
@@ -303,38 +289,6 @@
             if queue.queued:
                 queue.admit(now_ms)
 
-    def record_report(
-        self,
-        view: load_view.UpstreamView,
-        report: load_view.LoadReport,
-        now_ms: float,
-    ) -> None:
-        """Records a report that this process received from the upstream."""
-        if not self.loads.apply_report(view, report, now_ms):
-            return
-        self.queue_report(view, is_local=True)
-
-    def queue_report(
-        self, view: load_view.UpstreamView, is_local: bool
-    ) -> None:
-        """Queues an upstream's new report for the peers.
-
-        Args:
-            view: The upstream.
-            is_local: Whether the report comes from this failure domain; only
-                then do the other domains need it.
-        """
-        self.unsent_reports.add(view)
-        if is_local and self.members.collecting_since_ms is not None:
-            self.unsent_remote_reports.add(view)
-        pace = view.report.slowdown if view.report else None
-        if pace is None:
-            return
-        told = max(view.sent_slowdown, MIN_PACE)
-        change = max(pace, told) / max(MIN_PACE, min(pace, told))
-        if change >= URGENT_PACE_CHANGE:
-            self.request_heartbeat(is_local)
-
     def request_heartbeat(self, is_local: bool) -> None:
         """Requests a heartbeat at once.
 
@@ -344,83 +298,3 @@
         """
         self.heartbeat_requested.set()
         self.remote_heartbeat_requested |= is_local
-
-    def record_failure(self, view: load_view.UpstreamView) -> None:
-        """Queues a failed exchange for the peers."""
-        self.unsent_reports.add_failures(view, 1)
-        if self.members.collecting_since_ms is not None:
-            self.unsent_remote_reports.add_failures(view, 1)
-        else:
-            number = load_view.short_id(view.upstream.upstream_id)
-            self.own_reported_failures[number] = (
-                self.own_reported_failures.get(number, 0) + 1
-            )
-
-    def reports_to_send(self, now_ms: float) -> tuple[messages.Report, ...]:
-        """Removes and returns the reports for the own failure domain."""
-        for view in self.unsent_reports.views.values():
-            if view.report and view.report.slowdown:
-                view.sent_slowdown = view.report.slowdown
-        return self.unsent_reports.take(now_ms)
-
-    def remote_reports_to_send(
-        self, now_ms: float, limit: int
-    ) -> tuple[messages.Report, ...]:
-        """Removes and returns the reports for the other failure domains.
-
-        Args:
-            now_ms: The time.
-            limit: Maximum number of reports; the others remain queued for the
-                next message.
-        """
-        return self.unsent_remote_reports.take(now_ms, limit)
-
-    def record_peer_report(
-        self, report: messages.Report, now_ms: float, is_local: bool
-    ) -> None:
-        """Records a report received from a peer.
-
-        Args:
-            report: The report.
-            now_ms: The time.
-            is_local: Whether the peer is in this failure domain.
-        """
-        view = self.loads.by_short_id.get(report.number)
-        if view is None:
-            return
-        collecting = self.members.collecting_since_ms is not None
-        self.record_peer_failures(view, report, now_ms, is_local)
-        made_ms = now_ms - report.age_ms
-        if report.slots == 0 or made_ms <= view.reported_ms + ECHO_TOLERANCE_MS:
-            return
-        pace = report.pace_percent / 100.0 if report.pace_percent else None
-        load = load_view.LoadReport(
-            report.running, report.waiting, report.slots, pace
-        )
-        if self.loads.apply_report(view, load, made_ms) and collecting:
-            self.queue_report(view, is_local)
-
-    def record_peer_failures(
-        self,
-        view: load_view.UpstreamView,
-        report: messages.Report,
-        now_ms: float,
-        is_local: bool,
-    ) -> None:
-        """Records the failures in a peer's report, except this process's own.
-
-        A collector sends a process's failures back to it; they are already
-        counted.
-        """
-        failures = min(report.failures, MAX_REPORTED_FAILURES)
-        if not failures:
-            return
-        own = min(self.own_reported_failures.get(report.number, 0), failures)
-        if own:
-            self.own_reported_failures[report.number] -= own
-        for _ in range(failures - own):
-            view.record_outcome(True, now_ms)
-        if self.members.collecting_since_ms is not None:
-            self.unsent_reports.add_failures(view, failures)
-            if is_local:
-                self.unsent_remote_reports.add_failures(view, failures)
--- a/tests/node/test_overload.py
+++ b/tests/node/test_overload.py
@@ -171,7 +171,7 @@
             now_ms = self.clock.now_ms()
             for view in self.node.loads.by_id.values():
                 report = self.client.report(view.upstream.port)
-                self.node.record_report(view, report, now_ms)
+                self.node.reports.record_report(view, report, now_ms)
             self.node.admit_queued()
             await self.clock.sleep_ms(REPORT_INTERVAL_MS)
 
--- a/tests/node/test_reports.py
+++ b/tests/node/test_reports.py
@@ -55,7 +55,7 @@
 def record_own_report(node: node_state.NodeState, pace: float = 1.0) -> None:
     view = node.loads.by_id["i-0"]
     report = load_view.LoadReport(2, 0, 6, pace)
-    node.record_report(view, report, node.clock.now_ms())
+    node.reports.record_report(view, report, node.clock.now_ms())
 
 
 def report_of(upstream_id: str, **values: int) -> messages.Report:
@@ -66,11 +66,11 @@
 
 def test_a_report_is_sent_once(node: node_state.NodeState) -> None:
     record_own_report(node)
-    (report,) = node.reports_to_send(node.clock.now_ms())
+    (report,) = node.reports.reports_to_send(node.clock.now_ms())
     number = load_view.short_id("i-0")
     expected = messages.Report(number, 2, 0, 6, 100, 0)
     assert_that(report, matchers.Equals(expected))
-    again = node.reports_to_send(node.clock.now_ms())
+    again = node.reports.reports_to_send(node.clock.now_ms())
     assert_that(again, matchers.Equals(()))
 
 
@@ -78,13 +78,13 @@
     node: node_state.NodeState,
 ) -> None:
     now_ms = node.clock.now_ms()
-    node.record_peer_report(report_of("i-0"), now_ms, is_local=True)
-    assert_that(node.reports_to_send(now_ms), matchers.Equals(()))
+    node.reports.record_peer_report(report_of("i-0"), now_ms, is_local=True)
+    assert_that(node.reports.reports_to_send(now_ms), matchers.Equals(()))
     node.members.collecting_since_ms = now_ms
-    node.record_peer_report(report_of("i-1"), now_ms, is_local=True)
-    node.record_peer_report(report_of("i-2"), now_ms, is_local=False)
-    assert_that(node.reports_to_send(now_ms), matchers.HasLength(2))
-    (remote,) = node.remote_reports_to_send(now_ms, limit=40)
+    node.reports.record_peer_report(report_of("i-1"), now_ms, is_local=True)
+    node.reports.record_peer_report(report_of("i-2"), now_ms, is_local=False)
+    assert_that(node.reports.reports_to_send(now_ms), matchers.HasLength(2))
+    (remote,) = node.reports.remote_reports_to_send(now_ms, limit=40)
     number = load_view.short_id("i-1")
     assert_that(remote.number, matchers.Equals(number))
 
@@ -95,9 +95,11 @@
     now_ms = node.clock.now_ms()
     node.members.collecting_since_ms = now_ms
     for index in range(3):
-        node.record_peer_report(report_of(f"i-{index}"), now_ms, is_local=True)
-    first = node.remote_reports_to_send(now_ms, limit=2)
-    second = node.remote_reports_to_send(now_ms, limit=2)
+        node.reports.record_peer_report(
+            report_of(f"i-{index}"), now_ms, is_local=True
+        )
+    first = node.reports.remote_reports_to_send(now_ms, limit=2)
+    second = node.reports.remote_reports_to_send(now_ms, limit=2)
     assert_that(len(first), matchers.Equals(2))
     assert_that(len(second), matchers.Equals(1))
 
@@ -109,7 +111,7 @@
     view = node.loads.by_id["i-0"]
     view.own_in_flight += 2
     clock.advance(4.0)
-    node.record_peer_report(
+    node.reports.record_peer_report(
         report_of("i-0", running=2), clock.now_ms(), is_local=True
     )
     assert_that(view.load(), matchers.Equals(4))
@@ -121,13 +123,13 @@
     now_ms = node.clock.now_ms()
     view = node.loads.by_id["i-0"]
     view.record_outcome(True, now_ms)
-    node.record_failure(view)
+    node.reports.record_failure(view)
     once = view.failure_rate
-    (sent,) = node.reports_to_send(now_ms)
+    (sent,) = node.reports.reports_to_send(now_ms)
     assert_that(sent.failures, matchers.Equals(1))
-    node.record_peer_report(sent, now_ms, is_local=True)
+    node.reports.record_peer_report(sent, now_ms, is_local=True)
     assert_that(view.failure_rate, matchers.Equals(once))
-    node.record_peer_report(sent, now_ms, is_local=True)
+    node.reports.record_peer_report(sent, now_ms, is_local=True)
     assert_that(view.failure_rate, matchers.GreaterThan(once))
 
 
@@ -135,7 +137,7 @@
     node: node_state.NodeState, clock: manual_clock.ManualClock
 ) -> None:
     record_own_report(node)
-    node.reports_to_send(clock.now_ms())
+    node.reports.reports_to_send(clock.now_ms())
     assert_that(node.heartbeat_requested.is_set(), matchers.Equals(False))
     clock.advance(50.0)
     record_own_report(node, pace=4.0)
