Let more processes share an upstream's limit, and log every refusal by it

The users' bound leaves room for 2 x limit + 5 senders, so floor(1.5 x limit) + 3 are used: their bursts add up to 5.5 s x limit + 3 of 6 s x limit + 5.

A request refused because the next permitted send is after its deadline now names the limits too. The tests count in sliding windows of 4 s instead of a whole run: the bound is the users', and one of them took over 4 s under load (23 requests in more than 4 s, allowed 17 in 4 s).

--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -135,13 +135,12 @@
         """
         choices = self.selector.estimate_all(self.tried)
         if not choices:
-            limits = self.node.rate_limiter.story(self.service)
-            self.steps.extend(limits)
-            return Kind.OVERLOADED if limits else Kind.NO_UPSTREAM
+            limited = self.node.rate_limiter.limited(self.service)
+            return self.overloaded() if limited else Kind.NO_UPSTREAM
         now_ms = self.node.clock.now_ms()
         soonest_ms = min(each.latency_ms for each in choices)
         if now_ms + soonest_ms > self.sending.deadline_ms:
-            return Kind.OVERLOADED
+            return self.overloaded()
         queue = self.node.queue(self.service)
         # A late request overtakes no queued one: it uses only capacity that
         # is of no use to requests that can still meet their target.
@@ -155,10 +154,14 @@
             wait_ms,
             self.selector.sends_within(choices, wait_ms),
         ):
-            self.steps.extend(self.node.rate_limiter.story(self.service))
-            return Kind.OVERLOADED
+            return self.overloaded()
         return await self.wait_in_queue(queue, now_ms + wait_ms)
 
+    def overloaded(self) -> kinds.ErrorKind:
+        """Returns the error of a refusal; logs the rate limits in its way."""
+        self.steps.extend(self.node.rate_limiter.story(self.service))
+        return Kind.OVERLOADED
+
     async def wait_in_queue(
         self, queue: admission_queue.AdmissionQueue, give_up_ms: float
     ) -> kinds.ErrorKind | None:
@@ -286,8 +289,6 @@
             attempts.Attempt(view, task, delivery, progress, hedge, crowded)
         )
 
-    # Results
-
     def process_results(self) -> outcomes.Outcome | None:
         """Processes finished attempts; returns the outcome once decided."""
         for attempt in [each for each in self.running if each.task.done()]:
@@ -346,8 +347,6 @@
         attempt.view.record_outcome(True, now_ms)
         self.node.reports.record_failure(attempt.view)
 
-    # Hedging
-
     def consider_hedge(self) -> None:
         """Starts a hedge if another upstream is likely to be much faster."""
         if not self.sending.repeatable or len(self.running) != 1:
--- a/src/lovageyoke/routing/rate_share.py
+++ b/src/lovageyoke/routing/rate_share.py
@@ -1,10 +1,9 @@
 """Share of one process in the rate limit of an upstream.
 
-An upstream's limit holds for the whole fleet. Only as many processes as the
-limit feeds with about a request per second send to it; they are the first
-ones in an order that all processes compute alike. Each of them leaves the
-same time between two sends, so the sum over the fleet stays below the limit
-without coordination.
+An upstream's limit holds for the whole fleet. Only a number of processes that
+grows with the limit sends to it; they are the first ones in an order that all
+processes compute alike. Each of them leaves the same time between two sends,
+so the sum over the fleet stays below the limit without coordination.
 """
 
 from __future__ import annotations
@@ -16,8 +15,10 @@
 # Processes learn at different times that another one has become a sender or
 # is gone. A new sender waits for longer than that.
 HANDOVER_MS = 2_500.0
-# Senders in addition to one per request and second.
-EXTRA_SENDERS = 2
+# Senders per request and second that the upstream accepts, and in addition.
+# More of them use the limit better; each may send once more in any window.
+SENDERS_PER_RATE = 1.5
+EXTRA_SENDERS = 3
 # An upstream that accepts less is asked at this rate whether its limit still
 # holds; nobody else would lift it.
 MIN_PER_S = 0.1
@@ -31,7 +32,8 @@
         per_s: Requests per second that the upstream accepts.
         processes: Number of processes that may be sending requests.
     """
-    return max(1, min(math.floor(per_s) + EXTRA_SENDERS, processes))
+    wanted = math.floor(SENDERS_PER_RATE * per_s) + EXTRA_SENDERS
+    return max(1, min(wanted, processes))
 
 
 def interval_ms(per_s: float, position: int | None, processes: int) -> float:
--- a/tests/fakes/platform_upstream.py
+++ b/tests/fakes/platform_upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import json
+import time
 
 from fakes import handlers
 from lovageyoke.hop import messages
@@ -18,6 +19,7 @@
         actions: Actions for the next requests; later ones are served.
         always: Action for all requests, overriding ``actions``, or None.
         arrivals: Number of arrivals by request ID.
+        arrived_s: When each request arrived.
         ran: Number of executions by request ID.
         last: The last request received.
         load: The reported load header value.
@@ -30,6 +32,7 @@
         self.actions: list[str] = []
         self.always: str | None = None
         self.arrivals: collections.Counter[str] = collections.Counter()
+        self.arrived_s: list[float] = []
         self.ran: collections.Counter[str] = collections.Counter()
         self.last: messages.Request | None = None
         self.load = b"0,0,6,100"
@@ -59,6 +62,7 @@
             return self.answer(200, None)
         identity = (request.header(b"x-request-id") or b"").decode()
         self.arrivals[identity] += 1
+        self.arrived_s.append(time.monotonic())
         self.last = request
         expected = request.header(b"x-expected-instance")
         if expected != self.upstream_id.encode():
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+
+import cbor2
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -61,6 +64,16 @@
     waiting=COUNTS,
     members=st.lists(STATES, max_size=3).map(tuple),
     domains=COUNTS,
+    rate_limits=st.lists(
+        st.builds(
+            messages.RateLimitReport,
+            upstream_id=st.text(max_size=20),
+            started_ms=st.integers(0, 2**48),
+            per_s=st.none() | st.floats(0.0, 1e9),
+            age_ms=st.integers(0, 600_000),
+        ),
+        max_size=3,
+    ).map(tuple),
 )
 OTHERS = st.sampled_from(
     [
@@ -106,3 +119,25 @@
     assert isinstance(decoded, messages.Heartbeat)
     cut = messages.Report(1, 255, 255, 6, 65_535, 65_535, 255)
     assert_that(decoded.reports, matchers.Equals((cut,)))
+
+
+def heartbeat_fields(*limits: list[object]) -> list[object]:
+    heartbeat = messages.Heartbeat(
+        messages.MemberState(PEER), False, 1, 0, 0, 0, 0
+    )
+    fields = cbor2.loads(codec.encode(heartbeat))
+    assert isinstance(fields, list)
+    return [*fields[:-1], list(limits)]
+
+
+@pytest.mark.parametrize("per_s", [-1.0, math.inf, math.nan, "fast", [1]])
+def test_an_invalid_rate_limit_is_rejected(per_s: object) -> None:
+    datagram = cbor2.dumps(heartbeat_fields(["u1", 1, per_s, 0]))
+    with pytest.raises(exceptions.DecodeError):
+        codec.decode(datagram)
+
+
+def test_a_heartbeat_of_a_version_without_rate_limits_is_decoded() -> None:
+    decoded = codec.decode(cbor2.dumps(heartbeat_fields()[:-1]))
+    assert isinstance(decoded, messages.Heartbeat)
+    assert_that(decoded.rate_limits, matchers.Equals(()))
--- a/tests/node/test_rate_limiter.py
+++ b/tests/node/test_rate_limiter.py
@@ -95,9 +95,12 @@
     assert_that(limiter.views, matchers.Equals({}))
 
 
-def allowed_in_4_s(per_s: float) -> float:
-    """Returns the users' bound on requests in any four seconds."""
-    return 1.5 * 4.0 * per_s + 5.0
+def check_windows(arrived_s: list[float], per_s: float) -> None:
+    """Checks the users' bound on requests in any four seconds."""
+    for index, end_s in enumerate(arrived_s):
+        inside = sum(each > end_s - 4.0 for each in arrived_s[: index + 1])
+        allowed = 1.5 * 4.0 * per_s + 5.0
+        assert_that(inside, matchers.Not(matchers.GreaterThan(allowed)))
 
 
 async def test_an_upstream_gets_no_more_requests_than_it_accepts(
@@ -106,9 +109,57 @@
     limited = harness.upstreams[0]
     limited.limits = [b"2"]
     await harness.wait_until_limited("i-0")
-    before = sum(limited.arrivals.values())
+    limited.arrived_s.clear()
     for index in range(80):
         answer = await harness.send_request(identity=f"again-{index}")
         assert_that(answer.status_code, matchers.Equals(200))
-    arrived = sum(limited.arrivals.values()) - before
-    assert_that(arrived, matchers.Not(matchers.GreaterThan(allowed_in_4_s(2))))
+    check_windows(limited.arrived_s, per_s=2.0)
+
+
+async def test_retries_count_as_requests_to_a_limited_upstream(
+    harness: conftest.ProcessHarness,
+) -> None:
+    limited, other = harness.upstreams
+    limited.limits = [b"2"]
+    await harness.wait_until_limited("i-0")
+    other.always = "shed"
+    limited.arrived_s.clear()
+    for index in range(40):
+        await harness.send_request(identity=f"again-{index}", deadline="300")
+    check_windows(limited.arrived_s, per_s=2.0)
+    assert_that(limited.arrived_s, matchers.Not(matchers.HasLength(0)))
+
+
+async def test_requests_that_no_upstream_accepts_are_refused_at_once(
+    harness: conftest.ProcessHarness,
+    log_reader: int,
+) -> None:
+    harness.node.rate_limiter.started_ms = -math.inf
+    set_limits(harness, b"0.5")
+    await harness.wait_until_limited("i-0")
+    await harness.wait_until_limited("i-1")
+    for index in range(2):
+        await harness.send_request(identity=f"use-{index}")
+    answer = await harness.send_request(identity="late", deadline="1000")
+    assert_that(answer.status_code, matchers.Equals(503))
+    assert_that(answer.elapsed.total_seconds(), matchers.LessThan(0.4))
+    retry_after_s = float(answer.headers["retry-after"])
+    assert_that(retry_after_s, matchers.GreaterThan(0.9))
+    assert_that(harness.arrival_count("late"), matchers.Equals(0))
+    (line,) = [
+        each
+        for each in logged(log_reader, "request")
+        if each["request"] == "late"
+    ]
+    assert_that(str(line["story"]), matchers.Contains("rate-limited i-0"))
+
+
+async def test_an_answer_of_another_upstream_states_no_limit(
+    harness: conftest.ProcessHarness,
+) -> None:
+    set_limits(harness, b"1")
+    for each in harness.upstreams:
+        each.upstream_id = f"new-{each.upstream_id}"
+    await harness.send_request()
+    limiter = harness.node.rate_limiter
+    assert_that(limiter.limited_count(), matchers.Equals(0))
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import random
 
 from testtools import matchers
@@ -15,6 +16,7 @@
 from lovageyoke.routing import load_view
 from lovageyoke.routing import model
 from lovageyoke.routing import placement
+from lovageyoke.routing import rate_limit
 
 WORK = placement.WorkEstimate(service_ms=100.0, answer_kb=1.0, contention=1.7)
 DOWNLOAD = placement.WorkEstimate(service_ms=100.0, answer_kb=90.0)
@@ -141,3 +143,32 @@
     counts = choose_many([view("near"), view("far", domain="b")], small)
     assert_that(counts["near"], matchers.GreaterThan(700))
     assert_that(counts["far"], matchers.GreaterThan(100))
+
+
+def limited_view(wait_ms: float) -> load_view.UpstreamView:
+    limited = view("limited")
+    limited.rate_limit = rate_limit.RateLimit(rate_limit.Statement(2.0, 0.0))
+    limited.rate_limit.share.update(
+        wait_ms or 1.0, 0.0, phase=0.0, settled=True
+    )
+    limited.rate_limit.share.last_sent_ms = 0.0 if wait_ms else -10.0
+    return limited
+
+
+def test_a_rate_limited_upstream_counts_as_one_request_or_none() -> None:
+    (now,) = evaluate([limited_view(0.0)])
+    assert_that((now.free, now.capacity), matchers.Equals((1.0, 1.0)))
+    (later,) = evaluate([limited_view(500.0)])
+    assert_that(later.free, matchers.Equals(0.0))
+    assert_that(later.latency_ms, matchers.GreaterThan(500.0))
+
+
+def test_a_process_without_a_share_has_no_use_of_a_limited_upstream() -> None:
+    assert_that(evaluate([limited_view(math.inf)]), matchers.Equals([]))
+
+
+def test_scarcity_does_not_count_on_a_limited_upstream() -> None:
+    choices = evaluate([view("full", running=6), limited_view(500.0)])
+    assert_that(
+        placement.is_scarce(choices, target_ms=300.0), matchers.Equals(True)
+    )
