Look for senders in the upstream's own failure domain first

Whether a process is among the senders of a limited upstream took a hash of every process: 1.5 ms at 1,500, so 3% of a core at the target's restarts and 270 limited upstreams. The processes of the upstream's failure domain come first anyway, so the others only count them: 48 us in the own domain and 1 us in another one (31 domains, beside other load, arm64).

--- a/src/lovageyoke/fleet/members.py
+++ b/src/lovageyoke/fleet/members.py
@@ -281,7 +281,7 @@
         return [state for states in working.values() for state in states]
 
     def duty_position(
-        self, key: str, failure_domain: str, now_ms: float
+        self, key: str, failure_domain: str, limit: int, now_ms: float
     ) -> int | None:
         """Returns this process's position among those that may have a duty.
 
@@ -291,20 +291,33 @@
         Args:
             key: Name of the duty.
             failure_domain: Failure domain of the duty.
+            limit: Number of processes that have the duty.
             now_ms: The time.
 
         Returns:
-            The position from 0, None if this process is leaving.
+            The position from 0; None if it isn't below the limit, or if this
+            process is leaving.
         """
         if self.own.leaving:
             return None
         working = self.view(now_ms).working
-        own = _duty_rank(key, failure_domain, self.own)
-        return sum(
-            _duty_rank(key, failure_domain, state) < own
-            for states in working.values()
-            for state in states
+        group = working.get(failure_domain, [])
+        before = 0
+        if self.domain != failure_domain:
+            before = len(group)
+            if before >= limit:
+                return None
+            group = [
+                state
+                for domain, states in working.items()
+                for state in states
+                if domain != failure_domain
+            ]
+        own_rank = _duty_rank(key, self.own)
+        position = before + sum(
+            _duty_rank(key, state) < own_rank for state in group
         )
+        return position if position < limit else None
 
     def watch_rank(self, now_ms: float, store_ok: bool | None) -> int:
         """Returns this process's rank for watching the store, from 0.
@@ -339,15 +352,9 @@
         )
 
 
-def _duty_rank(
-    key: str, failure_domain: str, state: messages.MemberState
-) -> tuple[bool, int, str]:
-    peer = state.peer
-    return (
-        peer.failure_domain != failure_domain,
-        hash_of(key + "\0" + peer.node_id),
-        peer.node_id,
-    )
+def _duty_rank(key: str, state: messages.MemberState) -> tuple[int, str]:
+    node_id = state.peer.node_id
+    return hash_of(key + "\0" + node_id), node_id
 
 
 def duty_owner(key: str, states: Iterable[messages.MemberState]) -> str:
--- a/src/lovageyoke/node/rate_limiter.py
+++ b/src/lovageyoke/node/rate_limiter.py
@@ -255,6 +255,7 @@
             position = self.members.duty_position(
                 view.upstream.upstream_id,
                 view.upstream.failure_domain,
+                rate_share.sender_count(limit.per_s, processes),
                 now_ms,
             )
             interval_ms = rate_share.interval_ms(
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -5,6 +5,7 @@
 import collections
 import random
 
+import attrs
 import hypothesis
 from hypothesis import strategies as st
 from tests.fleet import conftest
@@ -240,3 +241,33 @@
         included += len(large & set(found))
     # Without weights each would be in about a third of the answers.
     assert_that(included / 50 / 20, matchers.GreaterThan(0.7))
+
+
+def test_the_processes_of_the_duty_s_domain_have_the_first_positions(
+    members: fleet_members.Members, state_of: conftest.StateOf
+) -> None:
+    states = [state_of(f"n{index}", "ab"[index % 2]) for index in range(2, 8)]
+    for each in states:
+        members.merge(each, 0.0)
+        members.others[each.peer.node_id].heard_ms = 0.0
+    assert_that(members.duty_position("u", "a", 4, 0.0), matchers.LessThan(4))
+    assert_that(members.duty_position("u", "b", 3, 0.0), matchers.Is(None))
+    remote = members.duty_position("u", "b", 7, 0.0)
+    assert remote is not None
+    assert_that(remote, matchers.GreaterThan(2))
+    positions = set()
+    for own in [members.own, *states]:
+        other = fleet_members.Members(own)
+        for each in [members.own, *states]:
+            other.merge(each, 0.0)
+            if each is not own:
+                other.others[each.peer.node_id].heard_ms = 0.0
+        positions.add(other.duty_position("u", "a", 7, 0.0))
+    assert_that(positions, matchers.Equals(set(range(7))))
+
+
+def test_a_leaving_process_has_no_duty(
+    members: fleet_members.Members,
+) -> None:
+    members.own = attrs.evolve(members.own, leaving=True)
+    assert_that(members.duty_position("u", "a", 4, 0.0), matchers.Is(None))
