--- a/src/lovageyoke/node/rate_limiter.py
+++ b/src/lovageyoke/node/rate_limiter.py
@@ -13,6 +13,7 @@
 from lovageyoke.fleet import messages as fleet_messages
 from lovageyoke.fleet import transmissions
 from lovageyoke.hop import messages as hop_messages
+from lovageyoke.node import report_exchange
 from lovageyoke.observe import events
 from lovageyoke.routing import load_view
 from lovageyoke.routing import rate_limit
@@ -28,7 +29,6 @@
 MS_PER_SECOND = 1_000.0
 
 DecodeRateLimit = Callable[[hop_messages.Headers], float | None]
-RequestHeartbeat = Callable[[bool], None]
 
 
 class RateLimiter:
@@ -61,7 +61,7 @@
         decode: DecodeRateLimit,
         members: fleet_members.Members,
         loads: load_view.LoadView,
-        request_heartbeat: RequestHeartbeat,
+        request_heartbeat: report_exchange.RequestHeartbeat,
     ) -> None:
         self.clock = clock
         self.rng = rng
