--- a/review/standins.py
+++ b/review/standins.py
@@ -435,6 +435,11 @@
             self.running -= 1
 
 
+def is_disturbed(since: float, length_s: float, pause_s: float) -> bool:
+    """Returns whether a disruption that comes again and again is on."""
+    return since > 0.0 and (now() - since) % (length_s + pause_s) < length_s
+
+
 def body_of(request_id: str) -> bytes:
     """Returns the body of the answer to a request."""
     return f"body of {request_id} ".encode() * 20
@@ -698,6 +703,7 @@
         self.record = Record(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.tasks: list[asyncio.Task] = []
+        self.traffic_since = 0.0
         self.store = Store(self.record)
         prefix = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.prefix = prefix
@@ -735,6 +741,7 @@
         await self.wait_ready(20.0)
         # The machines have to be in touch before anything is judged.
         await asyncio.sleep(STABLE_WINDOW_S + 1.0)
+        self.traffic_since = now()
 
     async def wait_ready(self, timeout_s: float) -> None:
         until = now() + timeout_s
