Keep running whatever another program writes or sends

Cause: a decoder at the boundary wasn't total. Values that decode could still be ones that no later code can bear: ports and hosts that no socket takes, text that can't be encoded, infinite durations, integers of 400 digits, weights that aren't numbers, an id with a line end.

Now one function turns any failure of a decoder into DecodeError, ranges are checked in one place, and both the store's entries and the messages of other processes go through it. A configuration with a route to an unknown service or with invalid weights is rejected as a whole.

Ruled out: the size of the value; an entry of 1 MB of sound JSON with a wrong field was rejected before, too.

Test data changed: hosts of fake upstreams were names and one port was 0, which no socket takes, and a route of the example configuration led to a service that it didn't define. Waits in the tests of a process now have a time limit, so that an ended process fails them instead of hanging.

--- a/src/lovageyoke/fleet/codec.py
+++ b/src/lovageyoke/fleet/codec.py
@@ -10,12 +10,15 @@
 import attrs
 import cbor2
 
-from lovageyoke.errors import exceptions
+from lovageyoke.fleet import message_checks
 from lovageyoke.fleet import messages
+from lovageyoke.schema import decoding
 
 FORMAT = 2
 _MAX_AGE_MS = 600_000
-_MAX_SEQUENCE = 2**53
+_MAX_COUNT = 2**31  # Of processes or requests.
+_MAX_CAPACITY = 1_000_000  # In percent of a core.
+_MAX_FLAGS = 15
 _BYTE = 255
 _SHORT = 65_535
 # The fields of ``messages.Report`` in their order.
@@ -28,27 +31,17 @@
     return cbor2.dumps([FORMAT, kind, *fields])
 
 
+@decoding.total("message")
 def decode(datagram: bytes) -> messages.Message:
     """Decodes a datagram.
 
     Raises:
         DecodeError: The datagram is not a valid message.
     """
-    try:
-        raw = cbor2.loads(datagram)
-        if not isinstance(raw, list) or raw[0] != FORMAT:
-            raise ValueError("unknown message format")
-        return _DECODERS[raw[1]](raw[2:])
-    except (
-        cbor2.CBORDecodeError,
-        struct.error,
-        ValueError,
-        TypeError,
-        IndexError,
-        KeyError,
-        RecursionError,
-    ) as error:
-        raise exceptions.DecodeError(f"invalid message: {error!r}") from error
+    raw = cbor2.loads(datagram)
+    if not isinstance(raw, list) or raw[0] != FORMAT:
+        raise ValueError("unknown message format")
+    return _DECODERS[raw[1]](raw[2:])
 
 
 def _fields(message: messages.Message) -> tuple[int, list[Any]]:
@@ -98,18 +91,21 @@
     return messages.Heartbeat(
         sender=_state(raw[0]),
         collecting=bool(raw[1]),
-        known=int(raw[2]),
-        configuration_version=int(raw[3]),
-        revision=int(raw[4]),
-        since_revision=int(raw[5]),
+        known=decoding.integer(raw[2], 0, _MAX_COUNT),
+        configuration_version=decoding.integer(raw[3]),
+        revision=decoding.integer(raw[4]),
+        since_revision=decoding.integer(raw[5]),
         fresh_age_ms=_age(raw[6]),
         changes=tuple(_change(each) for each in raw[7]),
         reports=tuple(
             messages.Report(*each) for each in _REPORT.iter_unpack(raw[8])
         ),
-        waiting=tuple((str(name), int(count)) for name, count in raw[9]),
+        waiting=tuple(
+            (_text(name), decoding.integer(count, 0, _MAX_COUNT))
+            for name, count in raw[9]
+        ),
         members=tuple(_state(each) for each in raw[10]),
-        domains=tuple((str(name), _age(age)) for name, age in raw[11]),
+        domains=tuple((_text(name), _age(age)) for name, age in raw[11]),
         # Absent from the messages of earlier versions.
         rate_limits=tuple(
             _rate_limit(each) for part in raw[12:13] for each in part
@@ -124,22 +120,22 @@
 def _configuration(raw: list[Any]) -> messages.ConfigurationUpdate:
     version, revision, packed = raw
     return messages.ConfigurationUpdate(
-        int(version), int(revision), _raw(packed)
+        decoding.integer(version), decoding.integer(revision), _raw(packed)
     )
 
 
 def _snapshot_request(raw: list[Any]) -> messages.SnapshotRequest:
-    return messages.SnapshotRequest(int(raw[0]))
+    return messages.SnapshotRequest(decoding.integer(raw[0]))
 
 
 def _snapshot_part(raw: list[Any]) -> messages.SnapshotPart:
     revision, age_ms, digest, part, parts, packed = raw
     return messages.SnapshotPart(
-        int(revision),
+        decoding.integer(revision),
         _age(age_ms),
-        int(digest),
-        int(part),
-        int(parts),
+        decoding.integer(digest),
+        decoding.integer(part),
+        decoding.integer(parts),
         _raw(packed),
     )
 
@@ -178,18 +174,17 @@
 
 def _state(raw: list[Any]) -> messages.MemberState:
     node_id, host, port, front, domain, started, sequence, flags, capacity = raw
-    if not 0 <= int(sequence) <= _MAX_SEQUENCE:
-        raise ValueError("sequence number out of range")
+    decoding.integer(flags, 0, _MAX_FLAGS)
     return messages.MemberState(
-        messages.Peer(
-            str(node_id), str(host), int(port), str(front), str(domain)
+        message_checks.check_peer(
+            messages.Peer(node_id, host, port, front, domain)
         ),
-        int(started),
-        int(sequence),
+        decoding.integer(started),
+        decoding.integer(sequence),
         bool(flags & 1),
         bool(flags & 2),
         bool(flags & 4),
-        int(capacity),
+        decoding.integer(capacity, 0, _MAX_CAPACITY),
         bool(flags & 8),
     )
 
@@ -213,7 +208,7 @@
         if not 0.0 <= per_s < math.inf:
             raise ValueError("rate limit out of range")
     return messages.RateLimitReport(
-        str(upstream_id), int(started_ms), per_s, _age(age_ms)
+        _text(upstream_id), decoding.integer(started_ms), per_s, _age(age_ms)
     )
 
 
@@ -221,7 +216,13 @@
     key, revision, value = raw
     if value is not None:
         value = _raw(value)
-    return messages.EntryChange(str(key), int(revision), value)
+    return messages.EntryChange(_text(key), decoding.integer(revision), value)
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise ValueError("expected a text string")
+    return value
 
 
 def _raw(value: object) -> bytes:
--- a/src/lovageyoke/fleet/link.py
+++ b/src/lovageyoke/fleet/link.py
@@ -18,6 +18,7 @@
 
     Attributes:
         on_message: Called with each message and its sender's address.
+        on_rejected: Called with the error detail of an invalid datagram.
         transport: The transport, None before it is open.
         received: Messages received since the start.
         received_bytes: Their bytes.
@@ -26,9 +27,12 @@
     """
 
     def __init__(
-        self, on_message: Callable[[messages.Message, Address], None]
+        self,
+        on_message: Callable[[messages.Message, Address], None],
+        on_rejected: Callable[[str], None],
     ) -> None:
         self.on_message = on_message
+        self.on_rejected = on_rejected
         self.transport: asyncio.DatagramTransport | None = None
         self.received = 0
         self.received_bytes = 0
@@ -45,8 +49,9 @@
         self.received_bytes += len(data)
         try:
             message = codec.decode(data)
-        except exceptions.DecodeError:
+        except exceptions.DecodeError as error:
             self.malformed += 1
+            self.on_rejected(f"from {addr[0]}:{addr[1]}: {error.detail}")
             return
         self.received += 1
         self.on_message(message, addr)
--- a/src/lovageyoke/fleet/snapshot.py
+++ b/src/lovageyoke/fleet/snapshot.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
 import zlib
@@ -17,23 +16,13 @@
 from lovageyoke.errors import exceptions
 from lovageyoke.fleet import messages
 from lovageyoke.routing import model
+from lovageyoke.routing import model_checks
+from lovageyoke.schema import decoding
 
 PART_ENTRIES = 150  # A part stays well below the size of a datagram.
 MAX_PARTS = 400
 MAX_INCOMPLETE = 4  # Snapshots that are received at the same time.
 MAX_PART_BYTES = 1_000_000  # Decompressed.
-# Types of an upstream's fields, in their order.
-_UPSTREAM_FIELDS: tuple[Callable[[Any], Any], ...] = (
-    str,
-    int,
-    str,
-    str,
-    int,
-    str,
-    int,
-    bool,
-    float,
-)
 
 
 @attrs.frozen
@@ -144,29 +133,17 @@
     return zlib.compress(cbor2.dumps(rows), 1)
 
 
+@decoding.total("snapshot part")
 def _unpack_entries(packed: bytes) -> list[Entry]:
-    try:
-        unpacker = zlib.decompressobj()
-        raw = unpacker.decompress(packed, MAX_PART_BYTES)
-        if unpacker.unconsumed_tail:
-            raise ValueError("decompressed part is too large")
-        return [_entry(*row) for row in cbor2.loads(raw)]
-    except (
-        zlib.error,
-        cbor2.CBORDecodeError,
-        ValueError,
-        TypeError,
-    ) as error:
-        raise exceptions.DecodeError(
-            f"invalid snapshot part: {error!r}"
-        ) from error
+    unpacker = zlib.decompressobj()
+    raw = unpacker.decompress(packed, MAX_PART_BYTES)
+    if unpacker.unconsumed_tail:
+        raise ValueError("decompressed part is too large")
+    return [_entry(*row) for row in cbor2.loads(raw)]
 
 
 def _entry(key: str, revision: int, fields: list[Any]) -> Entry:
-    if len(fields) != len(_UPSTREAM_FIELDS):
-        raise ValueError("wrong number of upstream fields")
-    values = [
-        kind(value)
-        for kind, value in zip(_UPSTREAM_FIELDS, fields, strict=True)
-    ]
-    return Entry(str(key), int(revision), model.Upstream(*values))
+    upstream = model_checks.check_upstream(model.Upstream(*fields))
+    if not isinstance(key, str):
+        raise ValueError("expected a text string")
+    return Entry(key, decoding.integer(revision), upstream)
--- a/src/lovageyoke/hop/connection.py
+++ b/src/lovageyoke/hop/connection.py
@@ -386,7 +386,8 @@
             _, connection = await loop.create_connection(
                 lambda: ClientConnection(identity_header), host, port
             )
-    except (OSError, TimeoutError) as error:
+    # An address that no socket accepts raises other errors than OSError.
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
         raise exceptions.UpstreamError(
             f"cannot connect to {host}:{port}: {error!r}", Kind.CONNECT_FAILED
         ) from error
--- a/src/lovageyoke/hop/messages.py
+++ b/src/lovageyoke/hop/messages.py
@@ -10,6 +10,7 @@
 FIRST_REDIRECT_STATUS = 300
 FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
+MAX_TIMEOUT_DIGITS = 9  # Of a Keep-Alive timeout in seconds.
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
@@ -97,7 +98,9 @@
         return None
     for parameter in value.split(b","):
         name, _, seconds = parameter.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.isdigit():
+        if name.lower() != b"timeout" or not seconds.isdigit():
+            continue
+        if len(seconds) <= MAX_TIMEOUT_DIGITS:
             return int(seconds) * 1_000.0
     return None
 
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import traceback
-
 import attrs
 
 from lovageyoke.errors import kinds
@@ -18,7 +16,6 @@
 from lovageyoke.observe import exposition
 from lovageyoke.routing import model
 
-MAX_TRACEBACK_CHARS = 600
 DEFAULT_DEADLINE_MS = 60_000.0  # For requests without a deadline header.
 MIN_RETRY_AFTER_MS = 80.0
 MAX_RETRY_AFTER_MS = 1_000.0
@@ -105,11 +102,8 @@
     def report_error(self, request: messages.Request, error: Exception) -> None:
         """Logs an internal error of this process."""
         identity = request.header(self.node.client.names.request_id) or b""
-        self.node.log.event(
-            "fault",
-            request=identity.decode("latin-1"),
-            error=repr(error),
-            where=traceback.format_exc()[-MAX_TRACEBACK_CHARS:],
+        self.node.log.failure(
+            "fault", error, request=identity.decode("latin-1")
         )
 
     def limits(self) -> model.CallerLimits:
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -61,7 +61,7 @@
         self.node = node
         self.follower = follower
         self.replica = follower.replica
-        self.link = fleet_link.PeerLink(self.receive)
+        self.link = fleet_link.PeerLink(self.receive, self.message_rejected)
         self.started_ms = node.clock.wall_ms()
         self.clock_started_ms = node.clock.now_ms()
         self.sequence = 0
@@ -298,8 +298,21 @@
 
     # Receiving
 
+    def message_rejected(self, detail: str) -> None:
+        """Logs an invalid datagram."""
+        self.node.log.event("message-rejected", detail=detail)
+
     def receive(
         self, message: messages.Message, address: fleet_link.Address
+    ) -> None:
+        """Processes a message; one that fails doesn't affect others."""
+        try:
+            self.process(message, address)
+        except Exception as error:
+            self.node.log.failure("message-failed", error, sender=address[0])
+
+    def process(
+        self, message: messages.Message, address: fleet_link.Address
     ) -> None:
         """Processes a message from a peer."""
         now_ms = self.node.clock.now_ms()
--- a/src/lovageyoke/node/prober.py
+++ b/src/lovageyoke/node/prober.py
@@ -56,6 +56,8 @@
         finally:
             for task in self.tasks.values():
                 task.cancel()
+            self.tasks.clear()
+            self.assignment_inputs = ()
 
     def update_assignment(self) -> None:
         """Recomputes the assignment if any of its inputs has changed."""
@@ -159,6 +161,12 @@
                     continue
                 await self.node.clock.sleep_ms(pause_ms)
                 connection = await self.check_once(view, connection)
+        except Exception as error:
+            upstream_id = view.upstream.upstream_id
+            self.node.log.failure("check-failed", error, upstream=upstream_id)
+            self.record_no_response(view)
+            # The next update of the assignment starts the task again.
+            self.assignment_inputs = ()
         finally:
             if connection is not None:
                 connection.abort()
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import signal
 
@@ -33,6 +34,11 @@
 # them registers before this delay.
 REGISTER_DELAY_MS = 2_000.0
 LAG_DECAY = 0.5  # Decay of the peak event loop lag per second.
+# Delay before a failed task is started again; doubles with each failure.
+RESTART_FIRST_MS = 100.0
+RESTART_MAX_MS = 5_000.0
+
+TaskFunction = Callable[[], Awaitable[None]]
 
 
 class NodeProcess:
@@ -118,28 +124,44 @@
         await self.listen()
         self.node.log.event("start", started_ms=self.messenger.started_ms)
         tasks = [
-            asyncio.ensure_future(each)
-            for each in (
-                self.follower.run(),
-                self.run_discovery(),
-                self.prober.run(),
-                self.messenger.run(),
-                self.clean_up(),
-                self.poll_settings(),
-                self.admit_queued(),
-            )
+            asyncio.ensure_future(self.keep_running(name, run))
+            for name, run in self.background_tasks()
         ]
-        stopped = asyncio.ensure_future(self.stopping.wait())
-        done, _ = await asyncio.wait(
-            [*tasks, stopped], return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done:
-            if task is not stopped:
-                # These tasks never return; one that ends has failed. Its
-                # error ends the process, which is then restarted.
-                task.result()
+        await self.stopping.wait()
         await self.shut_down()
         self.node.log.event("stop")
+        for task in tasks:
+            task.cancel()
+
+    def background_tasks(self) -> list[tuple[str, TaskFunction]]:
+        """Returns the tasks of this process, each with its name."""
+        return [
+            ("follower", self.follower.run),
+            ("registration", self.run_registration),
+            ("discovery", self.run_discovery),
+            ("prober", self.prober.run),
+            ("messenger", self.messenger.run),
+            ("clean-up", self.clean_up),
+            ("settings", self.poll_settings),
+            ("admission", self.admit_queued),
+        ]
+
+    async def keep_running(self, name: str, run: TaskFunction) -> None:
+        """Runs a task, and again after an unexpected error.
+
+        An error of one task must not end the requests of all callers.
+        """
+        pause_ms = RESTART_FIRST_MS
+        while True:
+            started_ms = self.node.clock.now_ms()
+            try:
+                await run()
+            except Exception as error:
+                self.node.log.failure("task-failed", error, task=name)
+            if self.node.clock.now_ms() - started_ms > RESTART_MAX_MS:
+                pause_ms = RESTART_FIRST_MS
+            await self.node.clock.sleep_ms(pause_ms)
+            pause_ms = min(pause_ms * 2.0, RESTART_MAX_MS)
 
     async def listen(self) -> None:
         """Opens the listeners."""
@@ -173,12 +195,8 @@
 
     # Tasks
 
-    async def run_discovery(self) -> None:
-        """Registers this process in the store and discovers peers there.
-
-        Collectors do both all the time; other processes only while they know
-        no live peer.
-        """
+    async def run_registration(self) -> None:
+        """Registers this process in the store, see ``should_register``."""
         node = self.node
         peer = node.members.own.peer
         registration = fleet_registration.Registration(
@@ -190,6 +208,15 @@
             log=node.log,
             rng=node.rng,
         )
+        await registration.run(self.should_register)
+
+    async def run_discovery(self) -> None:
+        """Discovers peers in the store.
+
+        Collectors do so all the time; other processes only while they know
+        no live peer.
+        """
+        node = self.node
         discovery = fleet_registration.PeerDiscovery(
             store=self.store,
             prefix=self.codecs.node_prefix,
@@ -198,9 +225,7 @@
             clock=node.clock,
             log=node.log,
         )
-        await asyncio.gather(
-            registration.run(self.should_register), discovery.run()
-        )
+        await discovery.run()
 
     def should_register(self) -> bool:
         """Returns whether this process has to be registered in the store.
--- a/src/lovageyoke/observe/events.py
+++ b/src/lovageyoke/observe/events.py
@@ -4,12 +4,15 @@
 
 import json
 import os
+import traceback
 from typing import Any
 
 from lovageyoke.clock import api as clock_api
 
 LINES_PER_S = 40.0  # Limit per event kind; excess lines are only counted.
 BURST_LINES = 80.0
+MAX_ERROR_CHARS = 300
+MAX_TRACEBACK_CHARS = 600
 STDOUT = 1
 
 
@@ -71,6 +74,28 @@
             # for it.
             self.dropped[kind] = self.dropped.get(kind, 0) + dropped + 1
 
+    def failure(
+        self,
+        kind: str,
+        error: Exception,
+        /,
+        **fields: Any,  # noqa: ANN401
+    ) -> None:
+        """Writes an event about an unexpected error, with its traceback.
+
+        Args:
+            kind: Event kind.
+            error: The error, which must have been caught.
+            **fields: What the process was doing.
+        """
+        lines = traceback.format_exception(error)
+        self.event(
+            kind,
+            error=repr(error)[:MAX_ERROR_CHARS],
+            where="".join(lines)[-MAX_TRACEBACK_CHARS:],
+            **fields,
+        )
+
     def write(self, line: bytes) -> bool:
         """Writes a line after the remainder of a partially written one.
 
--- a/src/lovageyoke/platform/durations.py
+++ b/src/lovageyoke/platform/durations.py
@@ -4,7 +4,8 @@
 
 import re
 
-_DURATION = re.compile(r"\s*([0-9]+(?:\.[0-9]+)?)(ms|s)\s*")
+# The number of digits keeps a duration finite.
+_DURATION = re.compile(r"\s*([0-9]{1,12}(?:\.[0-9]{1,12})?)(ms|s)\s*")
 _VERSION = re.compile(r"r([0-9]{1,18})")
 MS_PER_SECOND = 1_000.0
 
--- a/src/lovageyoke/platform/entries.py
+++ b/src/lovageyoke/platform/entries.py
@@ -5,9 +5,10 @@
 import json
 from typing import Any
 
-from lovageyoke.errors import exceptions
 from lovageyoke.platform import durations
 from lovageyoke.routing import model
+from lovageyoke.routing import model_checks
+from lovageyoke.schema import decoding
 
 UPSTREAM_PREFIX = "servers/"
 CONFIGURATION_KEY = "op/config"
@@ -21,84 +22,64 @@
 }
 
 
+@decoding.total("upstream entry")
 def decode_upstream(key: str, value: bytes) -> model.Upstream:
     """Decodes the upstream of an entry under ``servers/``.
 
     Raises:
         DecodeError: The entry is malformed or has an invalid value.
     """
-    try:
-        raw = json.loads(value)
-        host, port = parse_address(raw["address"])
-        slots = raw["slots"]
-        if not isinstance(slots, int) or isinstance(slots, bool) or slots < 1:
-            raise ValueError(f"invalid number of slots: {slots!r}")
-        return model.Upstream(
+    raw = json.loads(value)
+    host, port = decoding.socket_address(raw["address"])
+    return model_checks.check_upstream(
+        model.Upstream(
             upstream_id=key.removeprefix(UPSTREAM_PREFIX),
             # Start time in Unix milliseconds; absent from older entries.
-            started_ms=_integer(raw.get("born", 0)),
-            service=_non_empty_string(raw["service"]),
+            started_ms=raw.get("born", 0),
+            service=raw["service"],
             host=host,
             port=port,
-            failure_domain=_non_empty_string(raw["zone"]),
-            slots=slots,
+            failure_domain=raw["zone"],
+            slots=raw["slots"],
             draining=_STATES[raw["state"]],
             # Remaining time of the cold start, not its total duration.
             cold_ms=durations.parse_duration_ms(
                 raw.get("cold_remaining", "0ms")
             ),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise exceptions.DecodeError(
-            f"invalid upstream entry {key}: {error!r}"
-        ) from error
+    )
 
 
+@decoding.total("configuration")
 def decode_configuration(value: bytes) -> model.Configuration:
     """Decodes the configuration written by operators.
 
     Raises:
         DecodeError: The configuration is malformed.
     """
-    try:
-        raw = json.loads(value)
-        routes = tuple(
-            _route(listener["host"], rule)
-            for listener in raw["listeners"]
-            for rule in listener["rule_set"]
-        )
-        services = {
-            each["name"]: model.Service(
-                each["name"],
-                each.get("health_check", "/health"),
-                int(each.get("max_connections", 0)),
-            )
-            for each in raw["clusters"]
-        }
-        return model.Configuration(
+    raw = json.loads(value)
+    routes = tuple(
+        _route(listener["host"], rule)
+        for listener in raw["listeners"]
+        for rule in listener["rule_set"]
+    )
+    services = {each["name"]: _service(each) for each in raw["clusters"]}
+    return model_checks.check_configuration(
+        model.Configuration(
             durations.parse_version(raw["version"]),
             routes,
             services,
             _limits(raw.get("limits", {})),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise exceptions.DecodeError(
-            f"invalid configuration: {error!r}"
-        ) from error
-
+    )
 
-def parse_address(text: object) -> tuple[str, int]:
-    """Parses an address such as ``10.1.0.34:8548`` into host and port.
 
-    Raises:
-        ValueError: The value is not a valid address.
-    """
-    if not isinstance(text, str):
-        raise ValueError(f"invalid address: {text!r}")
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit():
-        raise ValueError(f"invalid address: {text!r}")
-    return host, int(port)
+def _service(raw: dict[str, Any]) -> model.Service:
+    return model.Service(
+        raw["name"],
+        raw.get("health_check", "/health"),
+        decoding.integer(raw.get("max_connections", 0)),
+    )
 
 
 def _route(host: str, rule: dict[str, Any]) -> model.Route:
@@ -106,8 +87,7 @@
     split = action.get("traffic_split")
     if split:
         targets = tuple(
-            model.Target(each["service"], float(each["weight"]))
-            for each in split
+            model.Target(each["service"], each["weight"]) for each in split
         )
     else:
         targets = (model.Target(action["service"], 1.0),)
@@ -115,9 +95,9 @@
     latency = rule.get("target_latency")
     return model.Route(
         name=rule["name"],
-        host=_non_empty_string(host).lower(),
+        host=decoding.text(host).partition(":")[0].lower(),
         # Rules match by path prefix only.
-        prefix=_non_empty_string(rule["match"]["prefix"]),
+        prefix=rule["match"]["prefix"],
         repeat=_REPEAT_RULES.get(
             str(rule.get("kind")), model.RepeatRule.AT_MOST_ONCE
         ),
@@ -126,16 +106,20 @@
         target_latency_ms=(
             durations.parse_duration_ms(latency) if latency else timeout_ms
         ),
-        max_attempts=max(1, int(action.get("max_attempts", 1))),
-        priority=int(rule.get("priority", 0)),
+        max_attempts=max(1, decoding.integer(action.get("max_attempts", 1))),
+        priority=decoding.integer(rule.get("priority", 0)),
     )
 
 
 def _limits(raw: dict[str, Any]) -> model.CallerLimits:
     default = model.CallerLimits()
     return model.CallerLimits(
-        header_bytes=int(raw.get("max_header_bytes", default.header_bytes)),
-        body_bytes=int(raw.get("max_body_bytes", default.body_bytes)),
+        header_bytes=decoding.integer(
+            raw.get("max_header_bytes", default.header_bytes)
+        ),
+        body_bytes=decoding.integer(
+            raw.get("max_body_bytes", default.body_bytes)
+        ),
         header_timeout_ms=_duration(
             raw, "header_timeout", default.header_timeout_ms
         ),
@@ -147,15 +131,3 @@
     if name not in raw:
         return default_ms
     return durations.parse_duration_ms(raw[name])
-
-
-def _non_empty_string(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"not a non-empty string: {value!r}")
-    return value
-
-
-def _integer(value: object) -> int:
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise ValueError(f"not an integer: {value!r}")
-    return value
--- a/src/lovageyoke/platform/headers.py
+++ b/src/lovageyoke/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 from lovageyoke.errors import exceptions
@@ -13,6 +14,7 @@
 MIN_LOAD_FIELDS = 3
 # A plain decimal number; the number of digits keeps it finite.
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+_COUNT = re.compile(rb"\s*\d{1,9}\s*")
 MAX_LOGGED_BYTES = 60
 
 NAMES = names.HeaderNames(
@@ -36,12 +38,12 @@
     """
     if value is None:
         return None
-    try:
-        fields = [int(part) for part in value.split(b",")]
-    except ValueError:
+    parts = value.split(b",")
+    if len(parts) < MIN_LOAD_FIELDS:
         return None
-    if len(fields) < MIN_LOAD_FIELDS or min(fields) < 0:
+    if any(_COUNT.fullmatch(part) is None for part in parts):
         return None
+    fields = [int(part) for part in parts]
     pace = None
     if len(fields) > MIN_LOAD_FIELDS:
         pace = max(1.0, fields[MIN_LOAD_FIELDS]) / USUAL_PACE_PERCENT
@@ -75,6 +77,7 @@
     if value is None:
         return None
     try:
-        return max(0.0, float(value))
+        deadline_ms = float(value)
     except ValueError:
         return None
+    return max(0.0, deadline_ms) if math.isfinite(deadline_ms) else None
--- a/src/lovageyoke/platform/nodes.py
+++ b/src/lovageyoke/platform/nodes.py
@@ -4,8 +4,9 @@
 
 import json
 
-from lovageyoke.errors import exceptions
+from lovageyoke.fleet import message_checks
 from lovageyoke.fleet import messages
+from lovageyoke.schema import decoding
 
 PREFIX = "lovageyoke/nodes/"
 
@@ -23,22 +24,20 @@
     ).encode()
 
 
+@decoding.total("process entry")
 def decode_node(value: bytes) -> messages.Peer:
     """Decodes a process from the value of its store entry.
 
     Raises:
         DecodeError: The value is malformed.
     """
-    try:
-        raw = json.loads(value)
-        return messages.Peer(
-            str(raw["id"]),
-            str(raw["host"]),
-            int(raw["port"]),
-            str(raw["callers"]),
-            str(raw["failure_domain"]),
+    raw = json.loads(value)
+    return message_checks.check_peer(
+        messages.Peer(
+            raw["id"],
+            raw["host"],
+            raw["port"],
+            raw["callers"],
+            raw["failure_domain"],
         )
-    except (KeyError, TypeError, ValueError) as error:
-        raise exceptions.DecodeError(
-            f"invalid process entry: {error!r}"
-        ) from error
+    )
--- a/src/lovageyoke/platform/settings.py
+++ b/src/lovageyoke/platform/settings.py
@@ -10,7 +10,7 @@
 from lovageyoke.errors import exceptions
 from lovageyoke.node import settings
 from lovageyoke.platform import durations
-from lovageyoke.platform import entries
+from lovageyoke.schema import decoding
 
 METRICS_PORT = 9_464  # Matches the metrics address in the deploy file.
 PATH_VARIABLE = "LOVAGEYOKE_NODE_FILE"
@@ -75,7 +75,7 @@
 
 
 def _address(text: object) -> settings.Address:
-    return settings.Address(*entries.parse_address(text))
+    return settings.Address(*decoding.socket_address(text))
 
 
 def _optional_address(text: object) -> settings.Address | None:
--- a/src/lovageyoke/platform/store_client.py
+++ b/src/lovageyoke/platform/store_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 from typing import Any
 import urllib.parse
@@ -13,6 +14,7 @@
 from lovageyoke.hop import connection as hop_connection
 from lovageyoke.hop import messages
 from lovageyoke.platform import durations
+from lovageyoke.schema import decoding
 from lovageyoke.store import revisions
 
 CONNECT_TIMEOUT_MS = 500.0
@@ -52,9 +54,9 @@
         status, body = await self.call(
             "get", "GET", "/kv-key?" + urllib.parse.urlencode({"key": key})
         )
-        if status == NOT_FOUND:
-            return None, int(body.get("at", 0))
-        return _item(body), int(body.get("at", 0))
+        with _checked_response():
+            found = _item(body) if status != NOT_FOUND else None
+            return found, _revision(body.get("at", 0))
 
     async def list_items(
         self, prefix: str, stale: bool = False
@@ -69,11 +71,14 @@
             query["is_stale"] = "1"
         revision: int | None = None
         for _ in range(MAX_PAGES):
-            target = "/kv-range?" + urllib.parse.urlencode(query)
+            target = "/kv-range?" + urllib.parse.urlencode(
+                query, errors="surrogatepass"
+            )
             _, body = await self.call("list", "GET", target)
-            page = [_item(each) for each in body.get("items", [])]
-            items.extend(page)
-            at = int(body.get("at", 0))
+            with _checked_response():
+                page = [_item(each) for each in body.get("items", [])]
+                at = _revision(body.get("at", 0))
+            items.extend(each for each in page if _is_encodable(each.key))
             revision = at if revision is None else min(revision, at)
             if not body.get("has_more") or not page:
                 break
@@ -99,8 +104,11 @@
             raise exceptions.HistoryCompactedError(
                 f"the store no longer has the history after revision {after}"
             )
-        events = tuple(_change(each) for each in body.get("events", []))
-        return revisions.Changes(events, int(body.get("at", after)))
+        with _checked_response():
+            changes = [_change(each) for each in body.get("events", [])]
+            at = _revision(body.get("at", after))
+        events = tuple(each for each in changes if _is_encodable(each.key))
+        return revisions.Changes(events, at)
 
     async def commit(self, writes: list[revisions.Write]) -> int:
         """Sets keys in one transaction; returns the new revision."""
@@ -122,7 +130,8 @@
             raise exceptions.LeaseExpiredError(
                 "the lease of a write has expired"
             )
-        return int(body.get("revision", 0))
+        with _checked_response():
+            return _revision(body.get("revision", 0))
 
     async def grant_lease(self, ttl_ms: float) -> int:
         """Grants a lease and returns its ID."""
@@ -132,7 +141,8 @@
             "/kv-lease",
             {"ttl_time": durations.format_duration(ttl_ms)},
         )
-        return int(body["lease"])
+        with _checked_response():
+            return decoding.integer(body["lease"])
 
     async def renew_lease(self, lease_id: int) -> None:
         """Renews a lease."""
@@ -246,17 +256,27 @@
             "a key of the write was modified concurrently",
             kinds.ErrorKind.PLAN_CONFLICT,
         )
-    try:
+    with _checked_response():
         body = json.loads(response.body) if response.body else {}
-    except ValueError as error:
-        raise exceptions.PlatformOutcomeUnknownError(
-            f"the store's response is not valid JSON: {error}"
-        ) from error
-    if not isinstance(body, dict):
-        raise exceptions.PlatformOutcomeUnknownError(
-            "the store's response is not a JSON object"
-        )
-    return status, body
+        if not isinstance(body, dict):
+            raise ValueError("not a JSON object")
+        return status, body
+
+
+def _checked_response() -> contextlib.AbstractContextManager[None]:
+    # The call may have taken effect although its response is invalid.
+    return decoding.total(
+        "response of the store", exceptions.PlatformOutcomeUnknownError
+    )
+
+
+def _is_encodable(key: str) -> bool:
+    # JSON can escape lone surrogates, which no peer message can carry.
+    return not any("\ud800" <= char <= "\udfff" for char in key)
+
+
+def _revision(value: object) -> int:
+    return decoding.integer(value)
 
 
 def _value(raw: dict[str, Any]) -> bytes:
@@ -268,9 +288,16 @@
 
 
 def _item(raw: dict[str, Any]) -> revisions.Item:
-    return revisions.Item(str(raw["key"]), _value(raw), int(raw["revision"]))
+    return revisions.Item(_key(raw), _value(raw), _revision(raw["revision"]))
+
+
+def _key(raw: dict[str, Any]) -> str:
+    key = raw["key"]
+    if not isinstance(key, str):
+        raise ValueError("key of another type")
+    return key
 
 
 def _change(raw: dict[str, Any]) -> revisions.Change:
     value = None if raw.get("deleted") else _value(raw)
-    return revisions.Change(str(raw["key"]), int(raw["revision"]), value)
+    return revisions.Change(_key(raw), _revision(raw["revision"]), value)
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import ipaddress
 import os
 import random
+import zlib
 
 import attrs
 import pytest
@@ -32,7 +34,9 @@
         raise exceptions.DecodeError("bad entry")
     name = key.removeprefix("up/")
     draining = value == b"draining"
-    return model.Upstream(name, 1, "maps", name, 80, "a", 6, draining)
+    # Distinct names have distinct addresses.
+    host = str(ipaddress.IPv4Address(zlib.crc32(name.encode())))
+    return model.Upstream(name, 1, "maps", host, 80, "a", 6, draining)
 
 
 def decode_configuration(value: bytes) -> model.Configuration:
--- a/tests/fleet/test_snapshot.py
+++ b/tests/fleet/test_snapshot.py
@@ -19,7 +19,14 @@
 
 def entry_of(index: int) -> snapshot.Entry:
     upstream = model.Upstream(
-        f"i-{index}", index, "maps", "10.0.0.1", index, "a", 6, index % 2 == 0
+        f"i-{index}",
+        index,
+        "maps",
+        "10.0.0.1",
+        index + 1,
+        "a",
+        6,
+        index % 2 == 0,
     )
     return snapshot.Entry(f"up/{index:04}", index + 1, upstream)
 
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -21,6 +21,7 @@
 from lovageyoke.node import settings as node_settings
 from lovageyoke.node import state as node_state
 
+WAIT_S = 20.0
 ROUTES = [("safe", "/safe/"), ("unsafe", "/unsafe/"), ("download", "/load/")]
 
 
@@ -113,8 +114,9 @@
 
     async def wait_until(self, condition: Callable[[], bool]) -> None:
         """Waits for a condition on the internal state of the process."""
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(WAIT_S):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
 
     async def fill_upstreams(self) -> None:
         for each in self.upstreams:
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -67,7 +67,8 @@
         }
     ],
     "clusters": [
-        {"name": "maps", "health_check": "/h", "max_connections": 240}
+        {"name": "maps", "health_check": "/h", "max_connections": 240},
+        {"name": "scans", "health_check": "/h", "max_connections": 240},
     ],
 }
 
