Watch the store from the older of the two reads of a start

Cause: a start makes two stale reads, one of the upstreams and one of the configuration. They may differ in age, but the revision of the first counted for both. The watch continued from there, so that a configuration written between the two was never delivered.

Now a read of the store is applied as a whole, at the lower of its two revisions; entries and configurations keep their own revisions and are not applied twice.

Ruled out: peers that know the newer version, as all processes were killed; a loss in the store, as a full read returns the version.

--- a/src/lovageyoke/fleet/codec.py
+++ b/src/lovageyoke/fleet/codec.py
@@ -19,6 +19,7 @@
 _MAX_COUNT = 2**31  # Of processes or requests.
 _MAX_CAPACITY = 1_000_000  # In percent of a core.
 _MAX_FLAGS = 15
+_SNAPSHOT_PART_FIELDS = 6  # Without those added later.
 _BYTE = 255
 _SHORT = 65_535
 # The fields of ``messages.Report`` in their order.
@@ -66,6 +67,7 @@
         message.part,
         message.parts,
         message.packed,
+        message.configuration_version,
     ]
 
 
@@ -129,7 +131,11 @@
 
 
 def _snapshot_part(raw: list[Any]) -> messages.SnapshotPart:
-    revision, age_ms, digest, part, parts, packed = raw
+    revision, age_ms, digest, part, parts, packed = raw[:_SNAPSHOT_PART_FIELDS]
+    # Absent from the messages of earlier versions.
+    version = (
+        raw[_SNAPSHOT_PART_FIELDS] if len(raw) > _SNAPSHOT_PART_FIELDS else 0
+    )
     return messages.SnapshotPart(
         decoding.integer(revision),
         _age(age_ms),
@@ -137,6 +143,7 @@
         decoding.integer(part),
         decoding.integer(parts),
         _raw(packed),
+        decoding.integer(version),
     )
 
 
--- a/src/lovageyoke/fleet/follower.py
+++ b/src/lovageyoke/fleet/follower.py
@@ -179,24 +179,23 @@
     async def read_all(self, stale: bool) -> None:
         """Reads the configuration and all upstreams from the store."""
         layout = self.replica.layout
-        listing = await self.store.list_items(layout.upstream_prefix, stale)
-        await self.read_configuration(stale)
+        upstreams = await self.store.list_items(layout.upstream_prefix, stale)
+        configuration = await self.read_configuration(stale)
         self.record_success()
-        self.replica.apply_listing(listing, self.clock.now_ms(), stale)
+        now_ms = self.clock.now_ms()
+        self.replica.apply_read(upstreams, configuration, now_ms, stale)
         if self.replica.configuration is None:
             await self.clock.sleep_ms(POLL_MS * 4)
 
-    async def read_configuration(self, stale: bool) -> None:
-        """Reads the configuration from the store."""
+    async def read_configuration(self, stale: bool) -> revisions.Listing:
+        """Reads the configuration from the store; the listing may be empty."""
         key = self.replica.layout.configuration_key
         if stale:
             listing = await self.store.list_items(key, stale=True)
             found = [each for each in listing.items if each.key == key]
-        else:
-            item, _ = await self.store.get(key)
-            found = [item] if item is not None else []
-        for each in found:
-            self.replica.apply_configuration(each.value, each.revision)
+            return revisions.Listing(tuple(found), listing.revision)
+        item, revision = await self.store.get(key)
+        return revisions.Listing(() if item is None else (item,), revision)
 
     async def watch_once(self) -> None:
         """Waits for changes in the store and applies them."""
--- a/src/lovageyoke/fleet/messages.py
+++ b/src/lovageyoke/fleet/messages.py
@@ -205,6 +205,8 @@
         part: Index of this part, from 0.
         parts: Number of parts.
         packed: Compressed entries; see ``snapshot.pack``.
+        configuration_version: Version that the sender follows, 0 for none;
+            its configuration is sent separately and may be lost.
     """
 
     revision: int
@@ -213,6 +215,7 @@
     part: int
     parts: int
     packed: bytes
+    configuration_version: int = 0
 
 
 Message = (
--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -136,18 +136,30 @@
 
     # From the store
 
-    def apply_listing(
-        self, listing: revisions.Listing, now_ms: float, stale: bool
+    def apply_read(
+        self,
+        upstreams: revisions.Listing,
+        configuration: revisions.Listing,
+        now_ms: float,
+        stale: bool,
     ) -> None:
-        """Applies a full listing from the store.
+        """Applies a full read of the store, made in two calls.
 
         Args:
-            listing: The entries.
+            upstreams: The entries of all upstreams.
+            configuration: The configuration, empty if there is none.
             now_ms: The time.
-            stale: Whether the listing may be seconds old.
+            stale: Whether the read may be seconds old.
         """
-        changed = self.registry.apply_listing(listing, now_ms)
-        self.finish_loading(listing.revision, changed, "listed", now_ms)
+        for each in configuration.items:
+            self.apply_configuration(each.value, each.revision)
+        # Stale reads may differ in age. Changes after the older one may be
+        # missing, so the watch continues from there.
+        revision = min(upstreams.revision, configuration.revision)
+        changed = self.registry.apply_listing(
+            revisions.Listing(upstreams.items, revision), now_ms
+        )
+        self.finish_loading(revision, changed, "listed", now_ms)
         if not stale:
             self.fresh_ms = now_ms
             self.restart_gap(now_ms)
@@ -158,7 +170,7 @@
     ) -> None:
         """Records that all entries were loaded at a revision."""
         advanced = revision > self.revision
-        self.revision = max(self.revision, revision)
+        self.advance(revision)
         self.close_gap(source, now_ms)
         if advanced:
             self.restart_gap(now_ms)
@@ -167,12 +179,16 @@
             self.listed = True
             self.upstreams_changed(source)
 
+    def advance(self, revision: int) -> None:
+        """Records that all changes up to a revision are known."""
+        self.revision = max(self.revision, revision)
+
     def apply_watch(self, found: revisions.Changes, now_ms: float) -> None:
         """Applies the changes that a watch returned."""
         changed = False
         for change in found.events:
             changed |= self.apply_event(change, now_ms)
-        self.revision = max(self.revision, found.revision)
+        self.advance(found.revision)
         self.close_gap("watched", now_ms)
         if changed:
             self.upstreams_changed("watched")
@@ -244,7 +260,7 @@
             if change.revision > before:
                 changed |= self.apply_change(change, now_ms)
         if heartbeat.revision >= self.revision:
-            self.revision = heartbeat.revision
+            self.advance(heartbeat.revision)
             self.close_gap(heartbeat.sender.peer.node_id, now_ms)
             fresh_ms = now_ms - heartbeat.fresh_age_ms
             self.fresh_ms = max(self.fresh_ms, fresh_ms)
@@ -276,6 +292,9 @@
         except exceptions.DecodeError as error:
             self.log.event("snapshot-rejected", detail=error.detail)
             return
+        self.newest_version = max(
+            self.newest_version, part.configuration_version
+        )
         if whole is None or whole.revision < self.revision:
             return
         changed = self.registry.apply_snapshot(whole, now_ms)
@@ -307,7 +326,9 @@
             self.revision, self.staleness_ms(now_ms), entries
         )
         update = self.configuration_update()
-        return [*([update] if update else []), *snapshot.pack(whole)]
+        version = self.configuration.version if self.configuration else 0
+        parts = snapshot.pack(whole, version)
+        return [*([update] if update else []), *parts]
 
     # Changes
 
--- a/src/lovageyoke/fleet/snapshot.py
+++ b/src/lovageyoke/fleet/snapshot.py
@@ -55,11 +55,17 @@
     entries: tuple[Entry, ...]
 
 
-def pack(snapshot: Snapshot) -> list[messages.SnapshotPart]:
+def pack(
+    snapshot: Snapshot, configuration_version: int = 0
+) -> list[messages.SnapshotPart]:
     """Splits a snapshot into messages.
 
     The entries are sorted, so that the parts of two processes with the same
     entries are the same.
+
+    Args:
+        snapshot: The snapshot.
+        configuration_version: Version that the sender follows, 0 for none.
     """
     entries = sorted(snapshot.entries, key=lambda each: each.key)
     chunks = [
@@ -75,6 +81,7 @@
             number,
             len(chunks),
             chunk,
+            configuration_version,
         )
         for number, chunk in enumerate(chunks)
     ]
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -324,9 +324,13 @@
         ]
         first = self.processes[0]
         now_ms = self.clock.now_ms()
-        first.replica.apply_configuration(b"1", 1)
-        listing = revisions.Listing(tuple(items), len(items) + 1)
-        first.replica.apply_listing(listing, now_ms, stale=False)
+        newest = len(items) + 1
+        first.replica.apply_read(
+            revisions.Listing(tuple(items), newest),
+            revisions.Listing((revisions.Item("config", b"1", 1),), newest),
+            now_ms,
+            stale=False,
+        )
         self.run_until(
             lambda: all(each.replica.is_complete for each in self.running()),
             3_000.0,
