Ignore reads that are older than what a process knows

Now the absence of a key has a revision, too: the registry knows at which revision the state of every key is known, and a write or removal from before it is obsolete. A key that a listing lacks counts as removed at the listing's revision instead of just after its last known write, which closes the same gap for a listing made between two writes of a key.

--- a/src/lovageyoke/fleet/registry.py
+++ b/src/lovageyoke/fleet/registry.py
@@ -1,9 +1,10 @@
 """Upstreams by their entries in the store.
 
 This module does no I/O. It accepts listings and changes in any order and
-never reverts to an older revision of a key. An entry that is deleted during
-or shortly after a store outage is retained until its upstream has had time to
-register again.
+never reverts to an older revision of a key. That a key is absent is known at
+a revision, too: a write from before that revision is obsolete. An entry that
+is deleted during or shortly after a store outage is retained until its
+upstream has had time to register again.
 """
 
 from __future__ import annotations
@@ -48,6 +49,8 @@
         known: State of each key; deleted keys are kept as tombstones with
             their revision.
         retained: Keys that were deleted during a store outage.
+        complete_revision: The state of every key is known at this revision;
+            keys that aren't known were absent.
         outage_ms: When the store was last unavailable to the whole fleet.
         rejected: Number of invalid entries since the start.
         on_rejected: Called with the error detail of an invalid entry.
@@ -61,6 +64,7 @@
         self.decode = decode
         self.known: dict[str, KeyState] = {}
         self.retained: set[str] = set()
+        self.complete_revision = 0
         self.outage_ms = -math.inf
         self.rejected = 0
         self.on_rejected = on_rejected
@@ -73,11 +77,17 @@
         """Returns whether upstreams may not have registered again yet."""
         return now_ms - self.outage_ms < REREGISTER_MS
 
+    def is_obsolete(self, key: str, revision: int) -> bool:
+        """Returns whether a key's state is known at a revision or later."""
+        known = self.known.get(key)
+        known_revision = known.revision if known is not None else 0
+        return revision <= max(known_revision, self.complete_revision)
+
     def put(self, key: str, value: bytes, revision: int) -> bool:
         """Applies a write; returns whether the upstreams changed."""
-        known = self.known.get(key)
-        if known is not None and known.revision >= revision:
+        if self.is_obsolete(key, revision):
             return False
+        known = self.known.get(key)
         before = known.upstream if known else None
         try:
             upstream = self.decode(key, value)
@@ -90,9 +100,9 @@
 
     def remove(self, key: str, revision: int, now_ms: float) -> bool:
         """Applies a deletion; returns whether the upstreams changed."""
-        known = self.known.get(key)
-        if known is not None and known.revision >= revision:
+        if self.is_obsolete(key, revision):
             return False
+        known = self.known.get(key)
         if known is None or known.upstream is None:
             self.known[key] = KeyState(revision)
             return False
@@ -133,8 +143,8 @@
         present = set()
         for entry in whole.entries:
             present.add(entry.key)
-            known = self.known.get(entry.key)
-            if known is None or known.revision < entry.revision:
+            if not self.is_obsolete(entry.key, entry.revision):
+                known = self.known.get(entry.key)
                 before = known.upstream if known else None
                 self.known[entry.key] = KeyState(entry.revision, entry.upstream)
                 changed |= entry.upstream != before
@@ -145,15 +155,17 @@
     ) -> bool:
         """Removes the keys that a full listing at a revision doesn't contain.
 
+        A listing from before ``complete_revision`` says nothing new.
+
         Returns:
             Whether the upstreams changed.
         """
         changed = False
         for key, known in list(self.known.items()):
-            gone = key not in present and known.revision <= revision
+            gone = key not in present and known.revision < revision
             gone = gone and known.deleted_ms is None
             if gone and known.upstream is not None:
-                changed |= self.remove(key, known.revision + 1, now_ms)
+                changed |= self.remove(key, revision, now_ms)
         return changed
 
     def expire_retained(self, now_ms: float) -> bool:
--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -182,6 +182,7 @@
     def advance(self, revision: int) -> None:
         """Records that all changes up to a revision are known."""
         self.revision = max(self.revision, revision)
+        self.registry.complete_revision = self.revision
 
     def apply_watch(self, found: revisions.Changes, now_ms: float) -> None:
         """Applies the changes that a watch returned."""
--- a/tests/fleet/test_stale_reads.py
+++ b/tests/fleet/test_stale_reads.py
@@ -13,6 +13,7 @@
 from fakes import revision_store
 from lovageyoke.fleet import follower as fleet_follower
 from lovageyoke.fleet import messages
+from lovageyoke.fleet import snapshot
 from lovageyoke.store import revisions
 
 pytestmark = pytest.mark.anyio
@@ -51,6 +52,40 @@
     assert_that(harness.upstreams, matchers.Equals(["u2", "u3"]))
 
 
+async def test_a_listing_older_than_a_snapshot_brings_no_server_back(
+    store: revision_store.RevisionStore,
+    harness: conftest.FollowerHarness,
+    clock: manual_clock.ManualClock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    earlier = await store.list_items("up/")
+    stale_reads(store, {"up/": earlier}, monkeypatch)
+    store.remove("up/u2")
+    entry = snapshot.Entry("up/u1", 3, conftest.decode_upstream("up/u1", b"x"))
+    whole = snapshot.Snapshot(store.revision, 0, (entry,))
+    for part in snapshot.pack(whole):
+        harness.replica.add_snapshot_part(part, clock.now_ms())
+    clock.advance(harness.follower.bootstrap_timeout_ms)
+    await harness.follower.read_all(stale=True)
+    assert_that(harness.upstreams, matchers.Equals(["u1"]))
+    assert_that(harness.replica.revision, matchers.Equals(store.revision))
+
+
+async def test_a_listing_between_two_writes_brings_no_server_back(
+    store: revision_store.RevisionStore,
+    harness: conftest.FollowerHarness,
+) -> None:
+    await harness.start_alone()
+    store.put("up/u2", b"draining")
+    between = await store.list_items("up/")
+    store.remove("up/u2")
+    await harness.follower.read_all(stale=False)
+    registry = harness.replica.registry
+    registry.apply_listing(between, 0.0)
+    found = [each.upstream_id for each in registry.upstreams()]
+    assert_that(found, matchers.Equals(["u1"]))
+
+
 async def test_a_snapshot_whose_configuration_is_lost_tells_its_version(
     store: revision_store.RevisionStore,
     harness: conftest.FollowerHarness,
