Bound every part of a message as its bytes arrive

Cause: the limit of a head was checked when the parser reported a complete header. Until then the parser collected the line, without a limit. After the close the connection and its parser referred to each other, so that the bytes stayed until the cyclic garbage collector ran.

Now the bytes since the parser's last report are counted, for responses of upstreams and of the store and for requests of callers: status and request lines, header lines, chunk extensions and trailers. Interim responses and bodies that aren't streamed have limits of their own, bodies are kept in one buffer instead of in chunks, and a lost connection lets go of its parser.

On the code before, the tests of endless status lines, header names and values, chunk extensions, trailers and interim responses in a response, four of the five in a request, and that of the freed parser fail.

Ruled out: pausing the reading, as the line would still end the request only at its deadline.

Not covered: requests whose bodies are within max_body_bytes, several at once, may still exceed the memory of a small VM.

--- a/src/lovageyoke/hop/attempt.py
+++ b/src/lovageyoke/hop/attempt.py
@@ -9,6 +9,7 @@
 from lovageyoke.errors import kinds
 from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import connection as hop_connection
+from lovageyoke.hop import exchange as hop_exchange
 from lovageyoke.hop import messages
 from lovageyoke.hop import names
 from lovageyoke.hop import pool as hop_pool
@@ -108,7 +109,7 @@
         upstream: model.Upstream,
         dispatch: DispatchState,
         sink: hop_api.BodySink | None,
-        on_head: hop_connection.OnHead | None = None,
+        on_head: hop_exchange.OnHead | None = None,
     ) -> messages.Response:
         """Sends a request and waits for its response.
 
--- a/src/lovageyoke/hop/connection.py
+++ b/src/lovageyoke/hop/connection.py
@@ -7,46 +7,26 @@
 import socket
 import typing
 
-import attrs
 import httptools
 
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
 from lovageyoke.hop import api
+from lovageyoke.hop import exchange as hop_exchange
+from lovageyoke.hop import line_limit
 from lovageyoke.hop import messages
+from lovageyoke.hop import response_checks
 
 # Larger response bodies are streamed instead of buffered.
 STREAMING_THRESHOLD_BYTES = 1_048_576
 MAX_HEAD_BYTES = 65_536
-NO_BODY_STATUSES = frozenset({204, 304})
+MAX_INTERIM_RESPONSES = 64  # Before one final response.
 # A faulty peer may repeat any earlier refusal, so each one is remembered.
 MAX_REFUSALS = 16
 # TCP user timeout, after which the connection to a dead peer is closed.
 USER_TIMEOUT_MS = 10_000
 
 Kind = kinds.ErrorKind
-OnHead = Callable[[int, messages.Headers], None]
-
-
-@attrs.define
-class Exchange:
-    """A request in progress on a connection, and its response.
-
-    Attributes:
-        request_id: Value that the response's identity header must have, None
-            if any response is accepted.
-        future: Future that receives the response or the error.
-        sink: Receives a large body as it arrives, None to buffer all bodies.
-        head_only: Whether the response has no body, as for HEAD requests.
-        on_head: Called with the status and headers of the response when they
-            are complete.
-    """
-
-    request_id: bytes | None
-    future: asyncio.Future[messages.Response]
-    sink: api.BodySink | None = None
-    head_only: bool = False
-    on_head: OnHead | None = None
 
 
 class ClientConnection(asyncio.Protocol):
@@ -67,12 +47,14 @@
         closed: Whether the connection is lost.
         must_close: Whether the connection must not be reused.
         on_closed: Called when the connection is lost.
+        parser: Parses the responses, None once the connection is lost. It
+            refers to this connection and may hold much of a response.
     """
 
     def __init__(self, identity_header: bytes) -> None:
         self.identity_header = identity_header
         self.transport: asyncio.Transport | None = None
-        self.exchange: Exchange | None = None
+        self.exchange: hop_exchange.Exchange | None = None
         self.responses_received = 0
         self.refused_ids: set[bytes | None] = set()
         self.idle_since_ms = 0.0
@@ -80,7 +62,10 @@
         self.closed = False
         self.must_close = False
         self.on_closed: Callable[[ClientConnection], None] | None = None
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
+        self.line_limit = line_limit.LineLimit()
         self.reset_message()
 
     # asyncio.Protocol
@@ -99,19 +84,21 @@
         """Fails the exchange in progress."""
         self.closed = True
         self.fail(Kind.UPSTREAM_RESET, f"connection ended: {exc or 'closed'}")
+        self.parser = None
+        self.reset_message()
         if self.on_closed is not None:
             self.on_closed(self)
 
     def eof_received(self) -> bool:
         """Completes a response whose body is delimited by the close."""
         self.must_close = True
-        if self.exchange is not None and self.close_delimited:
+        if self.exchange is not None and self.is_close_delimited():
             self.complete()
         return False
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; aborts if no exchange is in progress."""
-        if self.exchange is None:
+        if self.exchange is None or self.parser is None:
             self.abort()
             return
         try:
@@ -120,11 +107,11 @@
             httptools.HttpParserError,
             httptools.HttpParserCallbackError,
         ) as error:
-            self.fail(Kind.UPSTREAM_PROTOCOL, f"malformed response: {error}")
-            self.abort()
+            self.reject(f"malformed response: {error}")
         except httptools.HttpParserUpgrade:
-            self.fail(Kind.UPSTREAM_PROTOCOL, "unexpected protocol upgrade")
-            self.abort()
+            self.reject("unexpected protocol upgrade")
+        if self.line_limit.record_bytes(len(data)) > MAX_HEAD_BYTES:
+            self.reject("endless line in a response")
 
     # httptools callbacks
 
@@ -140,29 +127,32 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header and enforces the size limit of the head."""
+        self.line_limit.record_progress()
         self.headers.append((name.lower(), value))
         self.head_bytes += len(name) + len(value)
         if self.head_bytes > MAX_HEAD_BYTES:
-            self.fail(Kind.UPSTREAM_PROTOCOL, "response head too large")
-            self.abort()
+            self.reject("response head too large")
 
     def on_headers_complete(self) -> None:
         """Matches the response to the request and finds its body framing."""
+        self.line_limit.record_progress()
+        if self.exchange is None or self.parser is None:
+            return
         self.status = self.parser.get_status_code()
-        if self.exchange is None or self.status < messages.FIRST_FINAL_STATUS:
+        if self.status < messages.FIRST_FINAL_STATUS:
+            self.count_interim_response(self.exchange)
             return
         if self.exchange.request_id is not None:
-            received_id = messages.first_value(
-                self.headers, self.identity_header
-            )
-            self.mismatched = self.is_mismatched(
-                received_id, self.exchange.request_id
+            self.mismatched = response_checks.answers_other_request(
+                self.headers,
+                self.identity_header,
+                self.exchange.request_id,
+                is_first=self.responses_received == 0,
             )
             if self.mismatched:
                 self.must_close = True
         if self.exchange.on_head is not None and not self.mismatched:
             self.exchange.on_head(self.status, self.headers)
-        self.close_delimited = self.is_close_delimited(self.exchange)
         if self.exchange.head_only and not self.mismatched:
             # The parser would wait for the body that Content-Length announces.
             self.must_close = True
@@ -170,6 +160,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffers or streams a chunk of the body."""
+        self.line_limit.record_progress()
         if self.exchange is None or self.mismatched:
             return
         sink = self.exchange.sink
@@ -177,13 +168,16 @@
             sink.write_body(body)
             self.pause_until_writable(sink)
             return
-        self.chunks.append(body)
-        self.body_bytes += len(body)
-        if self.body_bytes > STREAMING_THRESHOLD_BYTES and sink is not None:
+        self.body += body
+        if sink is None:
+            if len(self.body) > self.exchange.most_body_bytes:
+                self.reject("response body too large")
+        elif len(self.body) > STREAMING_THRESHOLD_BYTES:
             self.start_streaming(sink)
 
     def on_message_complete(self) -> None:
         """Completes the exchange if the response belongs to its request."""
+        self.line_limit.record_progress()
         if (
             self.exchange is None
             or self.status < messages.FIRST_FINAL_STATUS
@@ -202,7 +196,8 @@
         sink: api.BodySink | None = None,
         *,
         head_only: bool = False,
-        on_head: OnHead | None = None,
+        on_head: hop_exchange.OnHead | None = None,
+        most_body_bytes: int = STREAMING_THRESHOLD_BYTES,
     ) -> asyncio.Future[messages.Response]:
         """Sends a request.
 
@@ -214,6 +209,7 @@
             head_only: Whether the response will have no body.
             on_head: Called with the status and headers of the response when
                 they are complete.
+            most_body_bytes: Largest response body if there is no sink.
 
         Returns:
             A future of the response. It fails with ``UpstreamError``.
@@ -223,7 +219,9 @@
                 "the connection is not open", Kind.NOTHING_WRITTEN
             )
         future = asyncio.get_running_loop().create_future()
-        self.exchange = Exchange(request_id, future, sink, head_only, on_head)
+        self.exchange = hop_exchange.Exchange(
+            request_id, future, sink, head_only, on_head, most_body_bytes
+        )
         self.transport.write(head + body if body else head)
         return future
 
@@ -271,38 +269,27 @@
         self.reason = b""
         self.headers: messages.Headers = []
         self.head_bytes = 0
-        self.chunks: list[bytes] = []
-        self.body_bytes = 0
+        # Chunks of a few bytes each would take many times their size.
+        self.body = bytearray()
         self.mismatched = False
-        self.close_delimited = False
         self.streaming = False
 
-    def is_mismatched(
-        self, received_id: bytes | None, expected_id: bytes
-    ) -> bool:
-        """Returns whether a response belongs to another request.
+    def count_interim_response(self, exchange: hop_exchange.Exchange) -> None:
+        """Rejects interim responses without end."""
+        exchange.interim_responses += 1
+        if exchange.interim_responses > MAX_INTERIM_RESPONSES:
+            self.reject("too many interim responses")
 
-        A response without an ID is accepted only as the first one on a
-        connection, where no earlier request can have caused it.
-        """
-        if received_id is None:
-            return self.responses_received > 0
-        return received_id != expected_id
-
-    def is_close_delimited(self, exchange: Exchange) -> bool:
-        """Returns whether the body ends when the connection is closed."""
-        if exchange.head_only or self.status in NO_BODY_STATUSES:
-            return False
-        names = {name for name, _ in self.headers}
-        return not names & {b"content-length", b"transfer-encoding"}
+    def is_close_delimited(self) -> bool:
+        """Returns whether the response ends with the connection."""
+        return response_checks.ends_with_connection(self.status, self.headers)
 
     def start_streaming(self, sink: api.BodySink) -> None:
         """Passes the buffered body to the sink and streams the rest."""
         self.streaming = True
         sink.start_response(self.response(b""))
-        for chunk in self.chunks:
-            sink.write_body(chunk)
-        self.chunks = []
+        sink.write_body(bytes(self.body))
+        self.body = bytearray()
         self.pause_until_writable(sink)
 
     def pause_until_writable(self, sink: api.BodySink) -> None:
@@ -340,10 +327,11 @@
         if self.status >= messages.FIRST_ERROR_STATUS:
             self.refused_ids.add(exchange.request_id)
         self.keep_alive_ms = messages.keep_alive_timeout_ms(self.headers)
-        response = self.response(b"".join(self.chunks))
-        self.chunks = []
+        response = self.response(bytes(self.body))
+        self.body = bytearray()
         if (
-            self.close_delimited
+            self.parser is None
+            or self.is_close_delimited()
             or not self.parser.should_keep_alive()
             or len(self.refused_ids) >= MAX_REFUSALS
         ):
@@ -352,13 +340,18 @@
         if not exchange.future.done():
             exchange.future.set_result(response)
 
+    def reject(self, detail: str) -> None:
+        """Fails the exchange because of invalid bytes and closes."""
+        self.fail(Kind.UPSTREAM_PROTOCOL, detail)
+        self.abort()
+
     def fail(self, kind: kinds.ErrorKind, detail: str) -> None:
         """Completes the exchange with an error."""
         if self.exchange is None:
             return
         exchange, self.exchange = self.exchange, None
         self.must_close = True
-        if self.status and self.chunks:
+        if self.status and self.body:
             kind = Kind.RESPONSE_TRUNCATED
         if not exchange.future.done():
             exchange.future.set_exception(
--- a/src/lovageyoke/hop/server.py
+++ b/src/lovageyoke/hop/server.py
@@ -17,6 +17,7 @@
 from lovageyoke.errors import kinds
 from lovageyoke.hop import answers
 from lovageyoke.hop import api
+from lovageyoke.hop import line_limit
 from lovageyoke.hop import messages
 
 MAX_PIPELINED = 16  # Requests queued behind the one being handled.
@@ -80,7 +81,10 @@
         self.read_timer: asyncio.TimerHandle | None = None
         self.writable = asyncio.Event()
         self.writable.set()
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
+        self.line_limit = line_limit.LineLimit()
         self.reset_message()
 
     # asyncio.Protocol
@@ -102,6 +106,9 @@
         self.stop_read_timer()
         self.queued.clear()
         self.writable.set()
+        # The parser refers to this connection and may hold much of a request.
+        self.parser = None
+        self.reset_message()
         if self.task is None or self.current is None:
             return
         if self.handler.may_cancel(self.current):
@@ -121,7 +128,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; rejects a malformed message."""
-        if self.rejected:
+        if self.rejected or self.parser is None:
             return
         try:
             self.parser.feed_data(data)
@@ -132,6 +139,9 @@
             httptools.HttpParserCallbackError,
         ):
             self.reject_message(kinds.ErrorKind.BAD_REQUEST)
+        pending_bytes = self.line_limit.record_bytes(len(data))
+        if pending_bytes > self.handler.limits().header_bytes:
+            self.reject_message(kinds.ErrorKind.HEAD_TOO_LARGE)
 
     # httptools callbacks
 
@@ -148,32 +158,35 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header."""
+        self.line_limit.record_progress()
         self.headers.append((name.lower(), value))
         self.add_head_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
         """Sends an interim response if the caller expects one."""
+        self.line_limit.record_progress()
         expected = messages.first_value(self.headers, b"expect")
         if expected is not None and expected.lower() == b"100-continue":
             self.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         """Buffers a chunk of the body and enforces the size limit."""
-        self.body_bytes += len(body)
-        if self.body_bytes > self.handler.limits().body_bytes:
+        self.line_limit.record_progress()
+        if len(self.body) + len(body) > self.handler.limits().body_bytes:
             self.reject_message(kinds.ErrorKind.BODY_TOO_LARGE)
             return
-        self.chunks.append(body)
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Queues a complete request and handles it when it is next."""
-        if self.rejected:
+        self.line_limit.record_progress()
+        if self.rejected or self.parser is None:
             return
         request = messages.Request(
             self.parser.get_method(),
             self.target,
             self.headers,
-            b"".join(self.chunks),
+            bytes(self.body),
             self.parser.should_keep_alive(),
             self.clock.now_ms(),
         )
@@ -361,8 +374,8 @@
         self.target = b""
         self.headers: messages.Headers = []
         self.head_bytes = 0
-        self.chunks: list[bytes] = []
-        self.body_bytes = 0
+        # Chunks of a few bytes each would take many times their size.
+        self.body = bytearray()
 
 
 ProtocolFactory = Callable[[], CallerConnection]
--- a/src/lovageyoke/platform/store_client.py
+++ b/src/lovageyoke/platform/store_client.py
@@ -22,6 +22,8 @@
 # Time that the response to a watch may take beyond the requested wait.
 WATCH_MARGIN_MS = 400.0
 MAX_PAGES = 1_000
+# A page has about 1 MB of values; a watch may return many changes.
+MAX_RESPONSE_BYTES = 33_554_432
 OK = 200
 NOT_FOUND = 404
 GONE = 410
@@ -209,7 +211,10 @@
             headers.append((b"Content-Length", str(len(encoded)).encode()))
         start = f"{method} {target} HTTP/1.1".encode()
         future = connection.send_request(
-            messages.encode_head(start, headers), encoded, None
+            messages.encode_head(start, headers),
+            encoded,
+            None,
+            most_body_bytes=MAX_RESPONSE_BYTES,
         )
         try:
             async with asyncio.timeout(timeout_ms / durations.MS_PER_SECOND):
