Complete a response only if it answers the request in progress

What callers saw: a server refuses a request and keeps the connection. The next request on it runs; where its answer is expected, a second copy of the refusal arrives, without a length, and the connection ends.

Cause: the copy was marked as another request's response, but the end of the connection completed it all the same, as its body had no length.

Now the end of the connection completes only the response to the request in progress. Anything else leaves that request unanswered, which is a reset connection: an unrepeatable request isn't sent again.

The same class on related paths: a copy that is cut inside its status line or a header, with the real answer right behind it, could mix the status of the copy with the answer's ID. A status line inside a reason phrase or a header value, or two different IDs, are errors now.

Ruled out: the check of refused IDs when a connection is taken from the pool, as the ID of the next request is a new one here.

--- a/src/lovageyoke/hop/connection.py
+++ b/src/lovageyoke/hop/connection.py
@@ -92,6 +92,8 @@
     def eof_received(self) -> bool:
         """Completes a response whose body is delimited by the close."""
         self.must_close = True
+        # Only the answer to the request in progress ends with the connection;
+        # a copy of an earlier one leaves the request unanswered.
         if self.exchange is not None and self.is_close_delimited():
             self.complete()
         return False
@@ -124,6 +126,8 @@
     def on_status(self, reason: bytes) -> None:
         """Collects the reason phrase."""
         self.reason += reason
+        if response_checks.contains_status_line(self.reason):
+            self.reject("a second response begins in the status line")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header and enforces the size limit of the head."""
@@ -132,6 +136,8 @@
         self.head_bytes += len(name) + len(value)
         if self.head_bytes > MAX_HEAD_BYTES:
             self.reject("response head too large")
+        elif response_checks.contains_status_line(value):
+            self.reject("a second response begins in a header")
 
     def on_headers_complete(self) -> None:
         """Matches the response to the request and finds its body framing."""
@@ -281,8 +287,10 @@
             self.reject("too many interim responses")
 
     def is_close_delimited(self) -> bool:
-        """Returns whether the response ends with the connection."""
-        return response_checks.ends_with_connection(self.status, self.headers)
+        """Returns whether the awaited response ends with the connection."""
+        return not self.mismatched and response_checks.ends_with_connection(
+            self.status, self.headers
+        )
 
     def start_streaming(self, sink: api.BodySink) -> None:
         """Passes the buffered body to the sink and streams the rest."""
--- a/src/lovageyoke/hop/response_checks.py
+++ b/src/lovageyoke/hop/response_checks.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import re
+
 from lovageyoke.hop import messages
 
 NO_BODY_STATUSES = frozenset({204, 304})
+# Where a response is cut short, the next one begins inside one of its lines.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
+_STATUS_LINE_START = b"HTTP/1."
 
 
 def answers_other_request(
@@ -23,10 +28,10 @@
             no earlier request can have caused it. Only such a response needs
             no ID.
     """
-    received_id = messages.first_value(headers, identity_header)
-    if received_id is None:
+    received = {value for name, value in headers if name == identity_header}
+    if not received:
         return not is_first
-    return received_id != expected_id
+    return received != {expected_id}
 
 
 def ends_with_connection(status: int, headers: messages.Headers) -> bool:
@@ -40,3 +45,10 @@
         return False
     names = {name for name, _ in headers}
     return not names & {b"content-length", b"transfer-encoding"}
+
+
+def contains_status_line(text: bytes) -> bool:
+    """Returns whether a reason phrase or header value has a status line."""
+    if _STATUS_LINE_START not in text:
+        return False
+    return _STATUS_LINE.search(text) is not None
--- a/tests/hop/test_endless_bytes.py
+++ b/tests/hop/test_endless_bytes.py
@@ -1,4 +1,4 @@
-"""Bytes without end are bounded in every part of a message."""
+"""Bytes without end are bounded, and copies of answers answer nothing."""
 
 from __future__ import annotations
 
@@ -188,3 +188,55 @@
     most = 2 * model.CallerLimits().header_bytes // len(PIECE)
     assert_that(pieces, matchers.Not(matchers.GreaterThan(most)))
     assert_that(transport.written, matchers.StartsWith(b"HTTP/1.1 431 "))
+
+
+REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nX-Id: one\r\nX-Not-Executed: 1\r\n"
+    b"Connection: close\r\n\r\n"
+)
+SUCCESS = b"HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\nforeign"
+
+
+@pytest.mark.parametrize("copy", [REFUSAL, SUCCESS], ids=["refusal", "success"])
+async def test_a_late_copy_without_a_length_does_not_answer_the_next_request(
+    connection: hop_connection.ClientConnection, copy: bytes
+) -> None:
+    first = connection.send_request(b"GET / HTTP/1.1\r\n\r\n", b"", b"one")
+    connection.data_received(
+        b"HTTP/1.1 503 Busy\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n"
+    )
+    await first
+    second = connection.send_request(b"GET / HTTP/1.1\r\n\r\n", b"", b"two")
+    connection.data_received(copy)
+    connection.eof_received()
+    connection.connection_lost(None)
+    with pytest.raises(exceptions.UpstreamError) as raised:
+        await second
+    assert_that(
+        raised.value.kind, matchers.Equals(kinds.ErrorKind.UPSTREAM_RESET)
+    )
+
+
+COPY = (
+    b"HTTP/1.1 200 OK\r\nX-Load: 1,0,6\r\nX-Id: one\r\n"
+    b"Content-Length: 2\r\n\r\nab"
+)
+NEXT = b"HTTP/1.1 500 Failed\r\nX-Id: two\r\nContent-Length: 0\r\n\r\n"
+
+
+async def test_a_copy_cut_short_never_turns_a_failure_into_a_success() -> None:
+    for size in range(1, len(COPY)):
+        connection = hop_connection.ClientConnection(b"x-id")
+        connection.connection_made(Transport())
+        first = connection.send_request(b"GET / HTTP/1.1\r\n\r\n", b"", b"one")
+        connection.data_received(COPY)
+        await first
+        second = connection.send_request(b"GET / HTTP/1.1\r\n\r\n", b"", b"two")
+        connection.data_received(COPY[:size] + NEXT)
+        connection.eof_received()
+        connection.connection_lost(None)
+        try:
+            answer = await second
+        except exceptions.UpstreamError:
+            continue
+        assert_that(answer.status, matchers.Equals(500))
