Start although a port is held or the settings are being written

Causes: (a) an address that another process still holds, or that comes up late, ended the start with OSError; (b) a settings file that is missing or incomplete while it is rewritten ended it with SettingsError, and a field of another type with AttributeError, which also escaped a reload; (c) the signal that asks for a reload ended the process if it came before the process handled it, that is for the whole time in which it loads modules.

Addresses of the settings may be host names as before; only entries and messages of others need IP addresses.

Ruled out: a store that is away or empty at the start; it is only logged.

--- a/src/lovageyoke/node/__main__.py
+++ b/src/lovageyoke/node/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 
@@ -11,6 +12,9 @@
     asyncio imports ssl when it is available. The process uses no TLS on the
     users' platform, and needs 2 MB less memory without the module.
     """
+    # Until the process handles this signal, it would end it. The settings are
+    # read later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
     from lovageyoke.node import assembly  # noqa: PLC0415
 
--- a/src/lovageyoke/node/assembly.py
+++ b/src/lovageyoke/node/assembly.py
@@ -18,6 +18,7 @@
 from lovageyoke.node import directory_handler
 from lovageyoke.node import process
 from lovageyoke.node import settings as node_settings
+from lovageyoke.node import start
 from lovageyoke.node import state as node_state
 from lovageyoke.observe import events
 from lovageyoke.platform import callers
@@ -45,16 +46,17 @@
 
 
 def build(
+    settings: node_settings.NodeSettings,
     read_settings: Callable[[], node_settings.NodeSettings],
     log_descriptor: int = events.STDOUT,
 ) -> process.NodeProcess:
     """Creates the process from its settings.
 
     Args:
-        read_settings: Reads the settings; called again on each reload.
+        settings: The settings.
+        read_settings: Reads the settings; called on each reload.
         log_descriptor: File descriptor of the log; set to non-blocking.
     """
-    settings = read_settings()
     clock = system.SystemClock()
     own = fleet_messages.Peer(
         settings.node_id,
@@ -90,7 +92,8 @@
     read_settings: Callable[[], node_settings.NodeSettings],
 ) -> None:
     """Runs the process until it receives a stop signal."""
-    await build(read_settings).run()
+    settings = await start.read_settings(read_settings, system.SystemClock())
+    await build(settings, read_settings).run()
 
 
 def main() -> None:
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -23,6 +23,7 @@
 from lovageyoke.node import prober as node_prober
 from lovageyoke.node import reload as node_reload
 from lovageyoke.node import settings as node_settings
+from lovageyoke.node import start as node_start
 from lovageyoke.node import state as node_state
 from lovageyoke.routing import model
 from lovageyoke.store import revisions
@@ -117,9 +118,13 @@
             loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         settings = self.node.settings
-        await loop.create_datagram_endpoint(
-            lambda: self.messenger.link,
-            local_addr=(settings.peers.host, settings.peers.port),
+        await node_start.open_listener(
+            self.node,
+            settings.peers,
+            lambda: loop.create_datagram_endpoint(
+                lambda: self.messenger.link,
+                local_addr=(settings.peers.host, settings.peers.port),
+            ),
         )
         await self.listen()
         self.node.log.event("start", started_ms=self.messenger.started_ms)
@@ -186,10 +191,16 @@
     ) -> None:
         """Opens a listener; port 0 selects a free port."""
         clock = self.node.clock
-        server = await hop_server.listen(
-            lambda: hop_server.CallerConnection(handler, clock, connections),
-            address.host,
-            address.port,
+        server = await node_start.open_listener(
+            self.node,
+            address,
+            lambda: hop_server.listen(
+                lambda: hop_server.CallerConnection(
+                    handler, clock, connections
+                ),
+                address.host,
+                address.port,
+            ),
         )
         self.ports.append(server.sockets[0].getsockname()[1])
 
--- a/src/lovageyoke/platform/settings.py
+++ b/src/lovageyoke/platform/settings.py
@@ -36,7 +36,8 @@
     """
     try:
         raw = tomllib.loads(file.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    # Nested values raise RecursionError.
+    except (OSError, ValueError, RecursionError) as error:
         raise exceptions.SettingsError((f"{file}: {error}",)) from error
     return decode(raw)
 
@@ -68,14 +69,15 @@
             seeds=_seeds(raw),
             capacity_percent=_capacity_percent(raw.get("limits", {})),
         )
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    # A field of another type raises whatever its use raises.
+    except Exception as error:
         raise exceptions.SettingsError(
             (f"invalid settings file: {error!r}",)
         ) from error
 
 
 def _address(text: object) -> settings.Address:
-    return settings.Address(*decoding.socket_address(text))
+    return settings.Address(*decoding.host_and_port(text))
 
 
 def _optional_address(text: object) -> settings.Address | None:
--- a/src/lovageyoke/schema/decoding.py
+++ b/src/lovageyoke/schema/decoding.py
@@ -95,9 +95,15 @@
     return value
 
 
-def socket_address(value: object) -> tuple[str, int]:
-    """Returns the host and port of an address such as ``10.1.0.34:8548``."""
+def host_and_port(value: object) -> tuple[str, int]:
+    """Returns the host and port of an address such as ``store:8541``."""
     host, _, digits = text(value).rpartition(":")
-    if not digits.isascii() or not digits.isdigit():
-        raise ValueError("address without a port")
-    return ip_address(host), port(int(digits))
+    if not host or not digits.isascii() or not digits.isdigit():
+        raise ValueError("not a host and a port")
+    return host, port(int(digits))
+
+
+def socket_address(value: object) -> tuple[str, int]:
+    """Returns the IP address and port of one such as ``10.1.0.34:8548``."""
+    host, number = host_and_port(value)
+    return ip_address(host), number
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -90,7 +90,9 @@
 
     async def start(self, log_descriptor: int) -> asyncio.Task[None]:
         """Starts the process and waits until it listens."""
-        self.process = assembly.build(self.settings, log_descriptor)
+        self.process = assembly.build(
+            self.settings(), self.settings, log_descriptor
+        )
         task = asyncio.ensure_future(self.process.run())
         while len(self.process.ports) < 4:
             if task.done():
--- a/tests/node/test_race.py
+++ b/tests/node/test_race.py
@@ -46,7 +46,7 @@
 @pytest.fixture
 def race() -> Iterator[node_race.Race]:
     descriptor = os.open(os.devnull, os.O_WRONLY)
-    node = assembly.build(nodes.settings, descriptor).node
+    node = assembly.build(nodes.settings(), nodes.settings, descriptor).node
     request = messages.Request(b"GET", b"/x", [(b"host", b"h")])
     sending = node.client.prepare(request, True, node.clock.now_ms() + 1_000)
     yield node_race.Race(node, sending, ROUTE, "maps", StreamingCaller())  # type: ignore[arg-type]
