--- a/tests/fleet/test_stale_reads.py
+++ b/tests/fleet/test_stale_reads.py
@@ -76,6 +76,7 @@
     harness: conftest.FollowerHarness,
 ) -> None:
     await harness.start_alone()
+    store.put("up/u2", b"x")
     store.put("up/u2", b"draining")
     between = await store.list_items("up/")
     store.remove("up/u2")
