Give a new connection the idle timeout until its first byte

What callers saw: a caller that opened a connection and sent its first request 3 s later found it closed as it sent, without an answer.

Cause: the time limit of a head started when the connection was made.

Now it starts with the first byte; before it, the idle timeout holds, as on a kept connection.

Evidence: test_a_new_connection_is_not_closed_before_its_first_byte fails on the code before.

Whether the users' cases of LOST are of this kind isn't known: they kept no logs.

--- a/src/lovageyoke/hop/server.py
+++ b/src/lovageyoke/hop/server.py
@@ -97,7 +97,8 @@
             high=HIGH_WATER_BYTES, low=LOW_WATER_BYTES
         )
         self.connections.open.add(self)
-        self.start_read_timer(self.handler.limits().header_timeout_ms)
+        # The time limit of a head starts with its first byte.
+        self.start_read_timer(self.handler.limits().idle_timeout_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the current request if its handler allows that."""
--- a/tests/hop/test_server.py
+++ b/tests/hop/test_server.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 
+import attrs
 import pytest
 from testtools import matchers
 from testtools.assertions import assert_that
@@ -122,6 +123,26 @@
     assert_that(answer, matchers.EndsWith(b"/a:"))
 
 
+async def test_a_new_connection_is_not_closed_before_its_first_byte() -> None:
+    async def respond(request: messages.Request) -> messages.Response:
+        return handlers.ok(request.target)
+
+    limits = attrs.evolve(
+        LIMITS, header_timeout_ms=100.0, idle_timeout_ms=20_000.0
+    )
+    listener = handlers.Listener(handlers.Handler(respond, limits))
+    async with listener:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", listener.port
+        )
+        await asyncio.sleep(0.3)
+        writer.write(get(extra=CLOSE))
+        async with asyncio.timeout(3.0):
+            answer = await reader.read(-1)
+        writer.close()
+    assert_that(answer, matchers.StartsWith(b"HTTP/1.1 200 OK\r\n"))
+
+
 async def test_cancellable_request_is_cancelled_on_disconnect(
     server: ServerFixture,
 ) -> None:
