Ignore a heartbeat that the store did after a newer one

Cause: entries carry a sequence number, which was read nowhere; the revision of the write alone decided.

Now an entry of the same incarnation with a lower number changes nothing. Incarnations without a start time can't be told apart and keep the former rule, as their numbers start again.

Evidence: test_a_late_heartbeat_does_not_undo_that_an_upstream_drains; it can't run on the code before, which doesn't know the number.

--- a/src/lovageyoke/fleet/registry.py
+++ b/src/lovageyoke/fleet/registry.py
@@ -95,6 +95,9 @@
             self.rejected += 1
             self.on_rejected(error.detail)
             upstream = None
+        if upstream is not None and before is not None:
+            # The store may do a late write of an upstream after a newer one.
+            upstream = before if upstream.is_older_than(before) else upstream
         self.known[key] = KeyState(revision, upstream)
         return upstream != before
 
--- a/src/lovageyoke/platform/entries.py
+++ b/src/lovageyoke/platform/entries.py
@@ -46,6 +46,7 @@
             cold_ms=durations.parse_duration_ms(
                 raw.get("cold_remaining", "0ms")
             ),
+            sequence=raw.get("sequence", 0),
         )
     )
 
--- a/src/lovageyoke/routing/model.py
+++ b/src/lovageyoke/routing/model.py
@@ -22,6 +22,8 @@
         slots: Requests that it serves concurrently.
         draining: Whether it accepts no new requests.
         cold_ms: Remaining warm-up time in milliseconds.
+        sequence: Number of the heartbeat that stated this; increases with
+            each heartbeat of one incarnation.
     """
 
     upstream_id: str
@@ -33,12 +35,21 @@
     slots: int
     draining: bool = False
     cold_ms: float = 0.0
+    sequence: int = 0
 
     @property
     def key(self) -> tuple[str, int]:
         """Key of this incarnation."""
         return self.upstream_id, self.started_ms
 
+    def is_older_than(self, other: Upstream) -> bool:
+        """Returns whether this is an earlier heartbeat of the same incarnation.
+
+        Incarnations without a start time can't be told apart.
+        """
+        same = self.started_ms > 0 and self.key == other.key
+        return same and self.sequence < other.sequence
+
 
 class RepeatRule(enum.Enum):
     """Whether the requests of a route may run more than once."""
--- a/src/lovageyoke/routing/model_checks.py
+++ b/src/lovageyoke/routing/model_checks.py
@@ -29,6 +29,7 @@
     decoding.text(upstream.failure_domain)
     decoding.integer(upstream.slots, 1, MAX_SLOTS)
     decoding.number(upstream.cold_ms, 0.0, MAX_COLD_MS)
+    decoding.integer(upstream.sequence)
     if not isinstance(upstream.draining, bool):
         raise ValueError("the draining state is not a boolean")
     return upstream
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -87,6 +87,32 @@
     )
 
 
+def test_a_late_heartbeat_does_not_undo_that_an_upstream_drains() -> None:
+    def decode_heartbeat(key: str, value: bytes) -> model.Upstream:
+        born, sequence, state = value.decode().split()
+        return model.Upstream(
+            key,
+            int(born),
+            "maps",
+            "10.0.0.1",
+            80,
+            "a",
+            6,
+            draining=state == "draining",
+            sequence=int(sequence),
+        )
+
+    registry = fleet_registry.Registry(decode_heartbeat)
+    registry.put("u1", b"7 4 ready", 5)
+    registry.put("u1", b"7 6 draining", 6)
+    registry.put("u1", b"7 5 ready", 7)
+    (upstream,) = registry.upstreams()
+    assert_that(upstream.draining, matchers.Equals(True))
+    registry.put("u1", b"9 1 ready", 8)
+    (upstream,) = registry.upstreams()
+    assert_that(upstream.draining, matchers.Equals(False))
+
+
 def test_an_upstream_that_registers_again_stays(
     registry: fleet_registry.Registry,
 ) -> None:
