Let a retry of a request that has not run wait for capacity

Callers saw 503 although an upstream would have accepted the request within a millisecond. The first upstream had shed it, the only other one had a rate limit whose next send was not due yet, and a retry, unlike a first attempt, was refused when no upstream was free at once.

The new test fails on the code before.

--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -111,7 +111,7 @@
             if outcome is not None:
                 return outcome
             if not self.running:
-                refusal = self.retry()
+                refusal = await self.retry()
                 if refusal is not None:
                     return outcomes.after_failures(
                         refusal, self.last_response, self.may_have_run
@@ -210,13 +210,15 @@
         Returns:
             Whether an attempt was started.
         """
-        choice = self.selector.select_first(freed, was_queued)
+        choice = self.selector.select_first(freed, was_queued, self.tried)
         if choice is None:
             return False
+        if self.sends > 0 and not self.spend_retry_budget():
+            return False
         self.start(choice, hedge=False)
         return True
 
-    def retry(self) -> kinds.ErrorKind | None:
+    async def retry(self) -> kinds.ErrorKind | None:
         """Retries after a failure.
 
         Returns:
@@ -227,7 +229,10 @@
             return kind
         choice = self.selector.select_other(self.tried)
         if choice is None:
-            return kind
+            # An upstream may have capacity soon.
+            if self.may_have_run or await self.admit() is not None:
+                return kind
+            return None
         if self.sends > 0 and not self.spend_retry_budget():
             return kind
         self.start(choice, hedge=False)
--- a/src/lovageyoke/node/upstream_selector.py
+++ b/src/lovageyoke/node/upstream_selector.py
@@ -76,9 +76,12 @@
         )
 
     def select_first(
-        self, freed: load_view.UpstreamView | None, was_queued: bool
+        self,
+        freed: load_view.UpstreamView | None,
+        was_queued: bool,
+        tried: Collection[tuple[str, int]] = (),
     ) -> placement.Candidate | None:
-        """Returns an upstream for the first attempt, if one has capacity.
+        """Returns an upstream for a request that has not run, if there is one.
 
         While the target can still be met, only upstreams that meet it
         qualify. After that, any upstream that responds before the deadline
@@ -90,8 +93,9 @@
                 visible to all processes at once, so it is taken only with
                 some probability.
             was_queued: Whether the request has been queued.
+            tried: Keys of the upstreams that were tried.
         """
-        choices = self.estimate_all()
+        choices = self.estimate_all(tried)
         now_ms = self.node.clock.now_ms()
         candidates = placement.with_free_capacity(
             choices, self.target_ms - now_ms
--- a/tests/node/test_rate_limiter.py
+++ b/tests/node/test_rate_limiter.py
@@ -53,6 +53,19 @@
     assert_that(named, matchers.Equals({("i-0", "response")}))
 
 
+async def test_a_retry_waits_for_the_next_send_that_a_limit_permits(
+    harness: conftest.ProcessHarness,
+) -> None:
+    limited, other = harness.upstreams
+    harness.node.rate_limiter.started_ms = -math.inf
+    limited.limits = [b"20"]
+    await harness.wait_until_limited("i-0")
+    other.always = "shed"
+    for number in range(8):
+        answer = await harness.send_request(identity=f"again-{number}")
+        assert_that(answer.status_code, matchers.Equals(200))
+
+
 async def test_limits_in_health_checks_are_logged(
     harness: conftest.ProcessHarness, log_reader: int
 ) -> None:
