Add client accounts, cold rates and evacuations to the model

The configuration decodes accounts with keys, priority, rate and burst, anonymous routes and the rate of cold upstreams; settings give memory, descriptors and the bounds of quotas. Nothing uses them yet.

--- a/src/lovageyoke/hop/names.py
+++ b/src/lovageyoke/hop/names.py
@@ -18,6 +18,9 @@
         rate_limit: Requests per second that an upstream accepts.
         not_executed: Present if the upstream did not execute the request.
         signature: The upstream's signature of a response.
+        api_key: Key that identifies the client account of a request.
+        account: Name of the client account, for the upstream.
+        cold_time_left: Time for which an upstream is still cold, in ms.
     """
 
     request_id: bytes
@@ -28,3 +31,6 @@
     rate_limit: bytes
     not_executed: bytes
     signature: bytes
+    api_key: bytes
+    account: bytes
+    cold_time_left: bytes
--- a/src/lovageyoke/node/settings.py
+++ b/src/lovageyoke/node/settings.py
@@ -19,6 +19,18 @@
         lifetime_most_ms: Maximum time for which callers may cache an address.
         probes_per_s: Maximum health checks of one upstream per second, from
             all processes together.
+        quota_window_ms: Length of the window in which an account's quota is
+            judged.
+        quota_over: Share of an account's quota by which a window may exceed
+            it.
+        quota_slack: Requests of an account by which a window may exceed its
+            quota in addition.
+        cold_over: Multiple of a cold upstream's rate that it may get in one
+            second.
+        cold_slack: Requests that a cold upstream may get in one second in
+            addition.
+        evacuate_ms: Time within which an evacuated failure domain must stop
+            receiving new requests.
     """
 
     grace_ms: float = 6_000.0
@@ -28,6 +40,12 @@
     budget_window_ms: float = 10_000.0
     lifetime_most_ms: float = 5_000.0
     probes_per_s: float = 40.0
+    quota_window_ms: float = 5_000.0
+    quota_over: float = 0.1
+    quota_slack: float = 20.0
+    cold_over: float = 1.5
+    cold_slack: float = 8.0
+    evacuate_ms: float = 5_000.0
 
 
 @attrs.frozen
@@ -65,6 +83,8 @@
         bounds: Limits that apply to the whole deployment.
         seeds: Addresses of some peers, contacted to join the fleet.
         capacity_percent: CPU capacity of the VM, in percent of a core.
+        memory_bytes: Memory that the process may use, 0 if unknown.
+        max_descriptors: File descriptors that it may open, 0 if unknown.
     """
 
     node_id: str
@@ -80,3 +100,5 @@
     bounds: Bounds
     seeds: tuple[Address, ...] = ()
     capacity_percent: int = 100
+    memory_bytes: int = 0
+    max_descriptors: int = 0
--- a/src/lovageyoke/platform/entries.py
+++ b/src/lovageyoke/platform/entries.py
@@ -19,6 +19,8 @@
     # Requests with large responses; they are safe and may be repeated.
     "download": model.RepeatRule.IDEMPOTENT,
     "unsafe": model.RepeatRule.AT_MOST_ONCE,
+    # Requests with large bodies.
+    "upload": model.RepeatRule.AT_MOST_ONCE,
 }
 
 
@@ -71,6 +73,7 @@
             routes,
             services,
             _limits(raw.get("limits", {})),
+            tuple(_account(each) for each in raw.get("tenants", [])),
         )
     )
 
@@ -80,6 +83,23 @@
         raw["name"],
         raw.get("health_check", "/health"),
         decoding.integer(raw.get("max_connections", 0)),
+        cold_start_ms=_duration(raw, "cold_start", 0.0),
+        # Zero would keep a cold upstream from warming up.
+        cold_rate_per_s=raw.get("cold_per_s") or None,
+    )
+
+
+def _account(raw: dict[str, Any]) -> model.ClientAccount:
+    priority = raw.get("priority")
+    api_keys = raw.get("api_keys", [])
+    if not isinstance(api_keys, list):
+        raise ValueError("the API keys are not a list")
+    return model.ClientAccount(
+        raw["name"],
+        tuple(api_keys),
+        None if priority is None else decoding.integer(priority),
+        raw.get("per_s", 0.0),
+        raw.get("burst", 0.0),
     )
 
 
@@ -109,6 +129,7 @@
         ),
         max_attempts=max(1, decoding.integer(action.get("max_attempts", 1))),
         priority=decoding.integer(rule.get("priority", 0)),
+        anonymous=bool(rule.get("anonymous", False)),
     )
 
 
--- a/src/lovageyoke/platform/headers.py
+++ b/src/lovageyoke/platform/headers.py
@@ -27,6 +27,9 @@
     rate_limit=b"server-limit",
     not_executed=b"x-not-executed",
     signature=b"x-response-signature",
+    api_key=b"api-key",
+    account=b"x-tenant-id",
+    cold_time_left=b"x-cold-remaining-ms",
 )
 
 
--- a/src/lovageyoke/platform/settings.py
+++ b/src/lovageyoke/platform/settings.py
@@ -14,6 +14,7 @@
 
 METRICS_PORT = 9_464  # Matches the metrics address in the deploy file.
 PATH_VARIABLE = "LOVAGEYOKE_NODE_FILE"
+BYTES_PER_MB = 1_000_000
 
 
 def path() -> pathlib.Path:
@@ -68,6 +69,8 @@
             bounds=_bounds(raw.get("bounds", [])),
             seeds=_seeds(raw),
             capacity_percent=_capacity_percent(raw.get("limits", {})),
+            memory_bytes=_memory_bytes(raw.get("limits", {})),
+            max_descriptors=int(raw.get("limits", {}).get("max_fds", 0)),
         )
     # A field of another type raises whatever its use raises.
     except Exception as error:
@@ -97,6 +100,10 @@
     return max(1, round(100.0 * share * float(limits.get("cores", 1))))
 
 
+def _memory_bytes(limits: dict[str, Any]) -> int:
+    return max(0, int(float(limits.get("memory_mb", 0)) * BYTES_PER_MB))
+
+
 def _bounds(texts: list[str]) -> settings.Bounds:
     values = dict(text.split("=", 1) for text in texts)
     default = settings.Bounds()
@@ -110,6 +117,14 @@
         ),
         lifetime_most_ms=_duration(values, "ttl_max", default.lifetime_most_ms),
         probes_per_s=_number(values, "probes_per_s", default.probes_per_s),
+        quota_window_ms=_duration(
+            values, "quota_window", default.quota_window_ms
+        ),
+        quota_over=_number(values, "quota_over", default.quota_over),
+        quota_slack=_number(values, "quota_slack", default.quota_slack),
+        cold_over=_number(values, "cold_over", default.cold_over),
+        cold_slack=_number(values, "cold_slack", default.cold_slack),
+        evacuate_ms=_duration(values, "evacuate", default.evacuate_ms),
     )
 
 
--- a/src/lovageyoke/routing/model.py
+++ b/src/lovageyoke/routing/model.py
@@ -85,6 +85,7 @@
         target_latency_ms: Latency target in milliseconds.
         max_attempts: Maximum number of upstreams tried per request.
         priority: Priority under overload; 0 is served first.
+        anonymous: Whether callers need no API key.
     """
 
     name: str
@@ -96,6 +97,7 @@
     target_latency_ms: float
     max_attempts: int
     priority: int
+    anonymous: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -111,11 +113,37 @@
         name: Its name.
         health_path: Path of its health check.
         max_connections: Connections that one upstream accepts in total.
+        cold_start_ms: Time for which an upstream is cold after its start, 0
+            if unknown.
+        cold_rate_per_s: Requests per second that a cold upstream accepts from
+            all processes together, None for no limit.
     """
 
     name: str
     health_path: str
     max_connections: int
+    cold_start_ms: float = 0.0
+    cold_rate_per_s: float | None = None
+
+
+@attrs.frozen
+class ClientAccount:
+    """A client account of the configuration.
+
+    Attributes:
+        name: Its name, as upstreams see it.
+        api_keys: The keys that identify its requests.
+        priority: Priority of its requests, None for that of their routes.
+        rate_per_s: Requests per second that all processes together accept, 0
+            for no limit.
+        burst: Requests accepted in addition after a time of little use.
+    """
+
+    name: str
+    api_keys: tuple[str, ...]
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 @attrs.frozen
@@ -144,9 +172,11 @@
         routes: All routes.
         services: Services by name.
         limits: Limits on callers.
+        accounts: The client accounts; without any, callers need no API key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
+    accounts: tuple[ClientAccount, ...] = ()
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -149,3 +149,60 @@
     raw = {key: each for key, each in CONFIGURATION.items() if key != missing}
     with pytest.raises(exceptions.DecodeError):
         entries.decode_configuration(json.dumps(raw).encode())
+
+
+ACCOUNT = {
+    "name": "north-mill",
+    "api_keys": ["key-1", "key-2"],
+    "priority": 1,
+    "per_s": 103,
+    "burst": 51.5,
+}
+
+
+def with_accounts(*accounts):
+    return json.dumps({**CONFIGURATION, "tenants": accounts}).encode()
+
+
+def test_accounts_are_decoded():
+    configuration = entries.decode_configuration(with_accounts(ACCOUNT))
+    expected = model.ClientAccount(
+        "north-mill", ("key-1", "key-2"), 1, 103, 51.5
+    )
+    assert_that(configuration.accounts, matchers.Equals((expected,)))
+
+
+def test_an_account_without_limits_has_none():
+    configuration = entries.decode_configuration(
+        with_accounts({"name": "north-mill", "api_keys": []})
+    )
+    (account,) = configuration.accounts
+    assert_that(account.rate_per_s, matchers.Equals(0.0))
+    assert_that(account.priority, matchers.Is(None))
+
+
+@pytest.mark.parametrize(
+    "accounts",
+    [
+        [ACCOUNT, {**ACCOUNT, "name": "south-mill"}],
+        [ACCOUNT, {**ACCOUNT, "api_keys": ["key-3"]}],
+        [{**ACCOUNT, "per_s": -1}],
+        [{**ACCOUNT, "burst": "many"}],
+        [{**ACCOUNT, "api_keys": "key-1"}],
+        [{**ACCOUNT, "api_keys": [""]}],
+        [{**ACCOUNT, "name": "two words"}],
+        [{**ACCOUNT, "priority": "high"}],
+    ],
+)
+def test_invalid_accounts_reject_the_whole_configuration(accounts):
+    with pytest.raises(exceptions.DecodeError):
+        entries.decode_configuration(with_accounts(*accounts))
+
+
+def test_the_rate_of_cold_upstreams_is_decoded():
+    raw = json.loads(json.dumps(CONFIGURATION))
+    raw["clusters"][0] |= {"cold_start": "3s", "cold_per_s": 5.0}
+    configuration = entries.decode_configuration(json.dumps(raw).encode())
+    service = configuration.services[raw["clusters"][0]["name"]]
+    assert_that(service.cold_start_ms, matchers.Equals(3_000.0))
+    assert_that(service.cold_rate_per_s, matchers.Equals(5.0))
