--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -361,11 +361,11 @@
         usual = self.node.loads.mean_slowdown(self.service)
         pace = attempt.view.slowdown(now_ms, usual)
         attempt.progress.advance(pace, now_ms)
-        if self.sends >= self.route.max_attempts:
-            return
-        if self.node.queue(self.service).queued:
-            return
-        if self.sink is not None and self.sink.streaming:
+        if (
+            self.sends >= self.route.max_attempts
+            or self.node.queue(self.service).queued
+            or (self.sink is not None and self.sink.streaming)
+        ):
             return
         remaining_ms = attempt.progress.remaining_ms(pace)
         elapsed_ms = now_ms - self.arrived_ms
@@ -373,14 +373,14 @@
         if retry_progress.meets_target(elapsed_ms, remaining_ms, target_ms):
             return
         choice = self.selector.select_other(self.tried)
-        if choice is None:
-            return
         left_ms = self.sending.deadline_ms - now_ms
-        if not retry_progress.should_hedge(
-            remaining_ms, choice.latency_ms, left_ms
+        if (
+            choice is not None
+            and retry_progress.should_hedge(
+                remaining_ms, choice.latency_ms, left_ms
+            )
+            and self.spend_retry_budget()
         ):
-            return
-        if self.spend_retry_budget():
             self.start(choice, hedge=True)
 
     def cancel_running(self) -> None:
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -63,9 +63,7 @@
     python = tmp_path / "bin" / "python3"
     python.parent.mkdir()
     libraries = sysconfig.get_path("platlib")
-    python.write_text(
-        PYTHON.format(libraries=libraries, python=sys.executable)
-    )
+    python.write_text(PYTHON.format(libraries=libraries, python=sys.executable))
     python.chmod(0o755)
     return Tree(tmp_path)
 
