--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -121,9 +121,8 @@
 
     def was_sent(self) -> bool:
         """Returns whether the request may have reached an upstream."""
-        if self.may_have_run:
-            return True
-        return any(each.delivery.sent for each in self.running)
+        sent = any(each.delivery.sent for each in self.running)
+        return self.may_have_run or sent
 
     # Starting
 
@@ -230,9 +229,8 @@
         choice = self.selector.select_other(self.tried)
         if choice is None:
             # An upstream may have capacity soon.
-            if self.may_have_run or await self.admit() is not None:
-                return kind
-            return None
+            waits = not self.may_have_run
+            return None if waits and await self.admit() is None else kind
         if self.sends > 0 and not self.spend_retry_budget():
             return kind
         self.start(choice, hedge=False)
@@ -240,18 +238,16 @@
 
     def may_retry(self, kind: kinds.ErrorKind) -> bool:
         """Returns whether the request may be retried after an error."""
-        if self.sends >= self.route.max_attempts:
-            return False
-        return outcomes.permits_retry(
+        return self.sends < self.route.max_attempts and outcomes.permits_retry(
             kind, self.sending.repeatable, self.may_have_run
         )
 
     def spend_retry_budget(self) -> bool:
         """Takes a retry from the service's budget; returns False if empty."""
         now_ms = self.node.clock.now_ms()
-        return self.node.retry_budget(self.service).try_spend(
-            now_ms, self.node.members.fleet_size(now_ms)
-        )
+        fleet_size = self.node.members.fleet_size(now_ms)
+        budget = self.node.retry_budget(self.service)
+        return budget.try_spend(now_ms, fleet_size)
 
     def start(self, choice: placement.Candidate, hedge: bool) -> None:
         """Starts an attempt."""
@@ -368,9 +364,9 @@
         ):
             return
         remaining_ms = attempt.progress.remaining_ms(pace)
-        elapsed_ms = now_ms - self.arrived_ms
-        target_ms = self.route.target_latency_ms
-        if retry_progress.meets_target(elapsed_ms, remaining_ms, target_ms):
+        if retry_progress.meets_target(
+            now_ms - self.arrived_ms, remaining_ms, self.route.target_latency_ms
+        ):
             return
         choice = self.selector.select_other(self.tried)
         left_ms = self.sending.deadline_ms - now_ms
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -14,6 +14,7 @@
 from testtools.assertions import assert_that
 
 ROOT = pathlib.Path(__file__).parents[2]
+BASH = shutil.which("bash") or "bash"
 BUILDS = 6
 # Installs the libraries of this environment in place of pip.
 PYTHON = """#!/bin/sh
@@ -43,7 +44,7 @@
 
     def build(self) -> subprocess.Popen[bytes]:
         return subprocess.Popen(
-            ["bash", "deploy/build.sh"], cwd=self.path, env=self.environment
+            [BASH, "deploy/build.sh"], cwd=self.path, env=self.environment
         )
 
     def start(self) -> subprocess.Popen[bytes]:
