--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -11,6 +11,7 @@
 from fakes import handlers
 from fakes import platform_store
 from lovageyoke.errors import exceptions
+from lovageyoke.hop import messages
 from lovageyoke.platform import store_client
 from lovageyoke.store import revisions
 
@@ -110,6 +111,31 @@
         await client.get("a")
 
 
+@pytest.mark.parametrize(
+    "items",
+    [
+        [{"value": "", "revision": 3}],
+        [{"key": "a", "value": "", "revision": "3"}],
+        [{"key": "a", "value": "", "revision": 1e400}],
+        [["key", "a"]],
+        {"key": "a"},
+        7,
+    ],
+)
+async def test_malformed_items_raise_one_type_of_error(
+    store: platform_store.PlatformStore,
+    client: store_client.StoreClient,
+    monkeypatch: pytest.MonkeyPatch,
+    items: object,
+) -> None:
+    def respond(_query: object) -> messages.Response:
+        return platform_store.answer(200, {"items": items, "at": 3})
+
+    monkeypatch.setattr(store, "range", respond)
+    with pytest.raises(exceptions.PlatformOutcomeUnknownError):
+        await client.list_items("a")
+
+
 async def test_timeout_is_unknown_outcome_and_closes_connection(
     store: platform_store.PlatformStore, client: store_client.StoreClient
 ) -> None:
