Weigh the size of request bodies in placement

Large uploads crossed failure domains as often as small requests: the cost of another domain counted the response only. The body's size is known before the first attempt and now counts like the response's.

The new test fails on the code before (WorkEstimate had no request size).

--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -75,6 +75,7 @@
             service,
             self.arrived_ms - waited_ms,
             sending.deadline_ms,
+            len(sending.request.body),
         )
         self.sink = sink
         self.running: list[attempts.Attempt] = []
@@ -210,9 +211,7 @@
             Whether an attempt was started.
         """
         choice = self.selector.select_first(freed, was_queued, self.tried)
-        if choice is None:
-            return False
-        if self.sends > 0 and not self.spend_retry_budget():
+        if choice is None or (self.sends and not self.spend_retry_budget()):
             return False
         self.start(choice, hedge=False)
         return True
--- a/src/lovageyoke/node/upstream_selector.py
+++ b/src/lovageyoke/node/upstream_selector.py
@@ -26,6 +26,7 @@
         target_ms: When the route's latency target ends, counted from the
             caller's first try.
         deadline_ms: When the final response is due.
+        request_bytes: Size of the request's body.
     """
 
     def __init__(
@@ -35,17 +36,21 @@
         service: str,
         first_tried_ms: float,
         deadline_ms: float,
+        request_bytes: int = 0,
     ) -> None:
         self.node = node
         self.route = route
         self.service = service
         self.target_ms = first_tried_ms + route.target_latency_ms
         self.deadline_ms = deadline_ms
+        self.request_bytes = request_bytes
 
     @property
     def work(self) -> placement.WorkEstimate:
         """The estimated work of the request."""
-        return self.node.work.estimate(self.route, self.service)
+        return self.node.work.estimate(
+            self.route, self.service, self.request_bytes
+        )
 
     @property
     def latest_start_ms(self) -> float:
--- a/src/lovageyoke/routing/placement.py
+++ b/src/lovageyoke/routing/placement.py
@@ -17,7 +17,7 @@
 from lovageyoke.routing import load_view
 
 CROSS_DOMAIN_MS = 3.0  # Round trip between failure domains.
-CROSS_DOMAIN_MS_PER_KB = 2.5  # Keeps large responses in their domain.
+CROSS_DOMAIN_MS_PER_KB = 2.5  # Keeps large transfers in their domain.
 UNHEALTHY_COST_MS = 2_000.0  # Used only if no other upstream is left.
 FAILURE_COST_MS = 1_500.0  # Cost of a certain failure.
 CONTENTION_THRESHOLD = 0.8  # Many upstreams slow down above this load.
@@ -41,11 +41,18 @@
         answer_kb: Response size in kilobytes.
         contention: Factor on the service time at an upstream loaded above
             ``CONTENTION_THRESHOLD``.
+        request_kb: Size of the request's body in kilobytes.
     """
 
     service_ms: float
     answer_kb: float
     contention: float = 1.0
+    request_kb: float = 0.0
+
+    @property
+    def transfer_kb(self) -> float:
+        """Size of the request and the response in kilobytes."""
+        return self.request_kb + self.answer_kb
 
 
 @attrs.frozen
@@ -135,7 +142,7 @@
     cross_domain = view.upstream.failure_domain != failure_domain
     if cross_domain:
         latency_ms += CROSS_DOMAIN_MS
-        cost_ms += CROSS_DOMAIN_MS + CROSS_DOMAIN_MS_PER_KB * work.answer_kb
+        cost_ms += CROSS_DOMAIN_MS + CROSS_DOMAIN_MS_PER_KB * work.transfer_kb
     if (
         view.unhealthy
         or view.unanswered_probes >= load_view.MAX_UNANSWERED_PROBES
--- a/src/lovageyoke/routing/work_estimate.py
+++ b/src/lovageyoke/routing/work_estimate.py
@@ -15,6 +15,7 @@
 CONTENTION_SMOOTHING = 0.08  # Contended samples are rare at first.
 MAX_SAMPLE_RATIO = 3.0
 MIN_ROUTE_ANSWERS = 8
+BYTES_PER_KB = 1_000.0
 
 
 class WorkEstimates:
@@ -37,13 +38,14 @@
         self.contention: dict[str, float] = {}
 
     def estimate(
-        self, route: model.Route, service: str
+        self, route: model.Route, service: str, request_bytes: int = 0
     ) -> placement.WorkEstimate:
         """Returns the expected work of a request.
 
         Args:
             route: Its route.
             service: The service that serves it.
+            request_bytes: Size of its body.
         """
         work, answers = self.routes.get((route.name, service), (None, 0))
         if work is None or answers < MIN_ROUTE_ANSWERS:
@@ -54,7 +56,10 @@
             work = placement.WorkEstimate(initial_ms, INITIAL_ANSWER_KB)
         contention = self.contention.get(service, INITIAL_CONTENTION)
         return placement.WorkEstimate(
-            work.service_ms, work.answer_kb, contention
+            work.service_ms,
+            work.answer_kb,
+            contention,
+            request_bytes / BYTES_PER_KB,
         )
 
     def service_time_ms(self, service: str) -> float:
@@ -84,7 +89,7 @@
                 ``placement.CONTENTION_THRESHOLD``.
         """
         service_ms = max(MIN_SERVICE_MS, elapsed_ms / max(0.1, slowdown))
-        answer_kb = answer_bytes / 1_000.0
+        answer_kb = answer_bytes / BYTES_PER_KB
         expected = self.estimate(route, service)
         if contended:
             self.record_contention(service, service_ms / expected.service_ms)
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -80,6 +80,12 @@
     assert_that(counts["far"], matchers.LessThan(20))
 
 
+def test_large_request_bodies_stay_in_their_failure_domain() -> None:
+    upload = placement.WorkEstimate(100.0, 0.4, request_kb=90.0)
+    counts = choose_many([view("near"), view("far", domain="b")], upload)
+    assert_that(counts["far"], matchers.LessThan(20))
+
+
 def test_large_response_uses_a_much_faster_remote_upstream() -> None:
     counts = choose_many(
         [view("near", slowdown=7.0), view("far", domain="b")], DOWNLOAD
