--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -75,7 +75,7 @@
             service,
             self.arrived_ms - waited_ms,
             sending.deadline_ms,
-            len(sending.request.body),
+            request_bytes=len(sending.request.body),
         )
         self.sink = sink
         self.running: list[attempts.Attempt] = []
--- a/src/lovageyoke/node/upstream_selector.py
+++ b/src/lovageyoke/node/upstream_selector.py
@@ -36,6 +36,7 @@
         service: str,
         first_tried_ms: float,
         deadline_ms: float,
+        *,
         request_bytes: int = 0,
     ) -> None:
         self.node = node
