Identify callers by the API keys of client accounts

Deployments with several client accounts need to tell their requests apart. A request without exactly one known key is answered 401 before it is routed further, unless its route is anonymous. Upstreams get the account's name, set by the process whatever the caller sent; keys are never forwarded or logged. The account's priority replaces the route's for queueing and Retry-After. Without accounts in the configuration all headers are forwarded as before.

--- a/src/lovageyoke/errors/kinds.py
+++ b/src/lovageyoke/errors/kinds.py
@@ -14,6 +14,7 @@
     REQUEST_TIMEOUT = "request-timeout"
     NOT_CONFIGURED = "not-configured"
     UNKNOWN_SERVICE = "unknown-service"
+    UNKNOWN_ACCOUNT = "unknown-account"
     IDENTITY_MISSING = "identity-missing"
     IDENTITY_REUSED = "identity-reused"
     DUPLICATE_IN_PROGRESS = "duplicate-in-progress"
--- a/src/lovageyoke/errors/table.py
+++ b/src/lovageyoke/errors/table.py
@@ -76,6 +76,7 @@
         503, "No configuration is known yet", Retry.NEVER, RETRY_AFTER_S
     ),
     Kind.UNKNOWN_SERVICE: _not_run(404, "No service matches the request"),
+    Kind.UNKNOWN_ACCOUNT: _not_run(401, "A valid API key is needed"),
     Kind.IDENTITY_MISSING: _not_run(
         400, "The request needs an idempotency identity"
     ),
--- a/src/lovageyoke/hop/attempt.py
+++ b/src/lovageyoke/hop/attempt.py
@@ -33,6 +33,7 @@
         headers: Headers that are the same for all upstreams.
         repeatable: Whether the request may be executed more than once.
         deadline_ms: Time by which the final response is due.
+        account: Name of the caller's account, empty if it has none.
     """
 
     request: messages.Request
@@ -41,6 +42,7 @@
     headers: messages.Headers
     repeatable: bool
     deadline_ms: float
+    account: str = ""
 
 
 @attrs.define
@@ -74,20 +76,37 @@
         self.clock = clock
 
     def prepare(
-        self, request: messages.Request, repeatable: bool, deadline_ms: float
+        self,
+        request: messages.Request,
+        repeatable: bool,
+        deadline_ms: float,
+        account: str | None = None,
     ) -> PreparedRequest:
-        """Prepares a caller's request for sending to any upstream."""
+        """Prepares a caller's request for sending to any upstream.
+
+        Args:
+            request: The request.
+            repeatable: Whether it may be executed more than once.
+            deadline_ms: Time by which the final response is due.
+            account: Name of the caller's account, empty for an anonymous
+                caller. None if there are no accounts; the headers of API
+                keys and accounts are then forwarded like any other.
+        """
         dropped = {
             self.names.deadline,
             self.names.expected_upstream,
             b"content-length",
             b"expect",
         }
+        if account is not None:
+            dropped |= {self.names.api_key, self.names.account}
         headers = [
             each
             for each in messages.end_to_end(request.headers)
             if each[0] not in dropped
         ]
+        if account:
+            headers.append((self.names.account, account.encode()))
         if request.body or request.header(b"content-length") is not None:
             length = str(len(request.body)).encode()
             headers.append((b"content-length", length))
@@ -101,6 +120,7 @@
             headers,
             repeatable,
             deadline_ms,
+            account or "",
         )
 
     async def send(
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import os
+from typing import Any
+
 import attrs
 
 from lovageyoke.errors import kinds
@@ -14,6 +17,7 @@
 from lovageyoke.node import race as node_race
 from lovageyoke.node import state as node_state
 from lovageyoke.observe import exposition
+from lovageyoke.routing import account_table
 from lovageyoke.routing import model
 
 DEFAULT_DEADLINE_MS = 60_000.0  # For requests without a deadline header.
@@ -53,6 +57,7 @@
         decode_deadline: Decodes the deadline header of a request.
         counters: Counters for the metrics.
         races: Requests in progress, by ``id`` of the request object.
+        key_salt: Salt of the digests of unknown API keys in the log.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         self.decode_deadline = decode_deadline
         self.counters = Counters()
         self.races: dict[int, node_race.Race] = {}
+        self.key_salt = os.urandom(16)
 
     async def handle(
         self, request: messages.Request, caller: hop_server.CallerConnection
@@ -74,10 +80,16 @@
         if isinstance(route, kinds.ErrorKind):
             self.send_error(request, caller, route, None)
             return
+        account = self.account_of(request, route)
+        if isinstance(account, kinds.ErrorKind):
+            self.send_error(request, caller, account, None)
+            return
+        if account is not None and account.priority is not None:
+            route = attrs.evolve(route, priority=account.priority)
         service = self.node.dealer.pick(route, self.node.rng.random())
         now_ms = self.node.clock.now_ms()
         self.node.retry_budget(service).record_request(now_ms)
-        race = self.create_race(request, route, service, caller)
+        race = self.create_race(request, route, service, caller, account)
         if not self.can_answer(race):
             self.send_error(request, caller, Kind.LEAVING, race)
             return
@@ -136,6 +148,24 @@
         route = self.node.table.find(hosts[0].decode("latin-1"), request.path)
         return Kind.UNKNOWN_SERVICE if route is None else route
 
+    def account_of(
+        self, request: messages.Request, route: model.Route
+    ) -> model.ClientAccount | kinds.ErrorKind | None:
+        """Returns the account of a request, or an error if it needs one.
+
+        Returns:
+            The account, None if the route needs none.
+        """
+        if self.node.accounts is None or route.anonymous:
+            return None
+        account = self.node.accounts.find(self.api_keys(request))
+        return Kind.UNKNOWN_ACCOUNT if account is None else account
+
+    def api_keys(self, request: messages.Request) -> list[bytes]:
+        """Returns the API keys that a request states."""
+        header = self.node.client.names.api_key
+        return [value for name, value in request.headers if name == header]
+
     def can_answer(self, race: node_race.Race) -> bool:
         """Returns whether a request will be answered before a planned stop."""
         stop = self.node.shutdown
@@ -149,6 +179,7 @@
         route: model.Route,
         service: str,
         caller: hop_server.CallerConnection,
+        account: model.ClientAccount | None,
     ) -> node_race.Race:
         """Creates the race that answers a request."""
         caller_deadline_ms = self.decode_deadline(
@@ -160,8 +191,12 @@
             if caller_deadline_ms is None
             else caller_deadline_ms,
         )
+        name = account.name if account else ""
         sending = self.node.client.prepare(
-            request, route.idempotent, request.arrived_ms + wait_ms
+            request,
+            route.idempotent,
+            request.arrived_ms + wait_ms,
+            None if self.node.accounts is None else name,
         )
         waited_ms = self.node.caller_waits.record(
             route.name, caller_deadline_ms
@@ -223,9 +258,23 @@
                 kind=name,
                 path=request.path[:200],
                 configuration=self.version(),
+                **self.unknown_key(request, kind),
             )
         caller.send_response(response)
 
+    def unknown_key(
+        self, request: messages.Request, kind: kinds.ErrorKind
+    ) -> dict[str, Any]:
+        """Returns the log fields of an unknown key; none holds the key."""
+        if kind is not Kind.UNKNOWN_ACCOUNT:
+            return {}
+        api_keys = self.api_keys(request)
+        stated = b",".join(api_keys)
+        return {
+            "api_keys": len(api_keys),
+            "key_digest": account_table.digest(self.key_salt, stated),
+        }
+
     def retry_after_ms(
         self, kind: kinds.ErrorKind, race: node_race.Race | None
     ) -> float | None:
@@ -269,6 +318,7 @@
             outcome=outcome,
             route=race.route.name,
             service=race.service,
+            account=race.sending.account or None,
             configuration=self.version(),
             took_ms=round(now_ms - race.arrived_ms),
             waited_before_ms=round(race.waited_ms),
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -19,6 +19,7 @@
 from lovageyoke.observe import exposition
 from lovageyoke.retry import caller_wait
 from lovageyoke.retry import window_budget
+from lovageyoke.routing import account_table
 from lovageyoke.routing import load_view
 from lovageyoke.routing import model
 from lovageyoke.routing import probe_interval
@@ -51,6 +52,7 @@
         rate_limiter: Rate limits of the upstreams.
         work: Work estimates of routes and services.
         table: The routes, None before a configuration is known.
+        accounts: The client accounts, None if callers need none.
         configuration: The current configuration.
         dealer: Picks the service for a route with a traffic split.
         caller_waits: Estimates how long callers have waited before.
@@ -105,6 +107,7 @@
         )
         self.work = work_estimate.WorkEstimates()
         self.table: route_table.RouteTable | None = None
+        self.accounts: account_table.AccountTable | None = None
         self.configuration: model.Configuration | None = None
         self.dealer = route_table.WeightedRoundRobin()
         self.caller_waits = caller_wait.CallerWaitEstimator()
@@ -160,6 +163,11 @@
         """Applies a new configuration."""
         self.configuration = configuration
         self.table = route_table.RouteTable(configuration.routes)
+        self.accounts = (
+            account_table.AccountTable(configuration.accounts)
+            if configuration.accounts
+            else None
+        )
         self.dealer.keep_only(configuration.routes)
         names = {each.name for each in configuration.routes}
         self.work.keep_only(names)
--- a/src/lovageyoke/routing/model.py
+++ b/src/lovageyoke/routing/model.py
@@ -140,7 +140,7 @@
     """
 
     name: str
-    api_keys: tuple[str, ...]
+    api_keys: tuple[str, ...] = attrs.field(repr=False)  # Secrets.
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -6,6 +6,8 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
 import json
 import os
 
@@ -25,13 +27,18 @@
 ROUTES = [("safe", "/safe/"), ("unsafe", "/unsafe/"), ("download", "/load/")]
 
 
-def configuration(version: int = 3, timeout: str = "2s") -> bytes:
+def configuration(
+    version: int = 3,
+    timeout: str = "2s",
+    accounts: Sequence[Mapping[str, object]] = (),
+) -> bytes:
     rules = [
         {
             "name": kind,
             "kind": kind,
             "target_latency": "300ms",
             "priority": 1,
+            "anonymous": kind == "download",
             "match": {"prefix": prefix},
             "action": {
                 "service": "maps",
@@ -46,6 +53,7 @@
             "version": f"r{version}",
             "listeners": [{"host": "h.example", "rule_set": rules}],
             "clusters": [{"name": "maps", "health_check": "/health"}],
+            "tenants": list(accounts),
         }
     ).encode()
 
@@ -148,16 +156,18 @@
         method: str = "GET",
         identity: str = "r1",
         deadline: str = "2000",
+        headers: Sequence[tuple[str, str]] = (),
     ) -> httpx.Response:
         async with httpx.AsyncClient(timeout=10.0) as client:
             return await client.request(
                 method,
                 f"http://127.0.0.1:{self.front}{path}",
-                headers={
-                    "Host": "h.example",
-                    "X-Request-Id": identity,
-                    "X-Deadline-Ms": deadline,
-                },
+                headers=[
+                    ("Host", "h.example"),
+                    ("X-Request-Id", identity),
+                    ("X-Deadline-Ms", deadline),
+                    *headers,
+                ],
                 content=b"payload" if method == "POST" else None,
             )
 
