Let waiting requests compete by priority, account and shares served

A more urgent arrival was queued behind requests that held the only place, and those that could no longer start in time behind it learned so only when their wait expired. One decision in limits/ now queues, refuses or displaces: those that would wait in vain are refused at once. Accounts of one priority that used less go first, a kind or account below a quarter of the average share goes before all others, and tries repeated at once are ordered by their last try.

Retry-After is at most a third of the caller's time left and keeps its jitter under that bound; before, it was up to 1.4 s. Metrics count refusals by reason and priority, and the steps of a refused request name both.

Tests of limits/ and node/ pass; a property test found that a starved kind was turned away on arrival, which is mended here.

--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from lovageyoke.errors import kinds
@@ -10,6 +12,7 @@
 from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
+from lovageyoke.limits import retry_after
 from lovageyoke.node import outcomes
 from lovageyoke.node import race as node_race
 from lovageyoke.node import state as node_state
@@ -17,8 +20,6 @@
 from lovageyoke.routing import model
 
 DEFAULT_DEADLINE_MS = 60_000.0  # For requests without a deadline header.
-MIN_RETRY_AFTER_MS = 80.0
-MAX_RETRY_AFTER_MS = 1_000.0
 MAX_RATE_RETRY_AFTER_MS = 5_000.0  # If all upstreams have rate limits.
 
 Kind = kinds.ErrorKind
@@ -231,23 +232,26 @@
     ) -> float | None:
         """Returns the delay after which a refused caller should retry.
 
-        The delay is the expected time until the requests queued now have
-        started, with random jitter so that callers don't retry in step.
+        The delay follows the expected time until the requests queued now have
+        started, but at most a third of the caller's time left.
         """
         if table.response_for(kind).retry_after_s is None:
             return None
-        wait_ms = MIN_RETRY_AFTER_MS
         # Another process can serve the request while this one is leaving.
-        if race is not None and kind is not Kind.LEAVING:
-            limited_ms = self.node.rate_limiter.retry_after_ms(race.service)
-            if limited_ms is not None:
-                wait_ms = min(limited_ms, MAX_RATE_RETRY_AFTER_MS)
-                return wait_ms * self.node.rng.uniform(1.0, 1.4)
-            queue = self.node.queue(race.service)
-            if queue.queued:
-                wait_ms = queue.expected_wait_ms(race.route.priority)
-        wait_ms = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
-        return wait_ms * self.node.rng.uniform(0.6, 1.4)
+        if race is None or kind is Kind.LEAVING:
+            return retry_after.delay_ms(0.0, math.inf, self.node.rng)
+        left_ms = race.sending.deadline_ms - self.node.clock.now_ms()
+        limited_ms = self.node.rate_limiter.retry_after_ms(race.service)
+        if limited_ms is not None:
+            wait_ms = min(limited_ms, MAX_RATE_RETRY_AFTER_MS)
+            return wait_ms * self.node.rng.uniform(1.0, 1.4)
+        queue = self.node.queue(race.service)
+        expected_ms = 0.0
+        if queue.queued:
+            expected_ms = queue.expected_wait_ms(
+                race.route.priority, race.account
+            )
+        return retry_after.delay_ms(expected_ms, left_ms, self.node.rng)
 
     def count_answer(self, status: int) -> None:
         """Counts a response by status."""
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 from lovageyoke.fleet import follower as fleet_follower
 from lovageyoke.fleet import link as fleet_link
 from lovageyoke.hop import messages
@@ -88,6 +90,9 @@
             service: queue.refused
             for service, queue in self.node.queues.items()
         }
+        refusals: collections.Counter[str] = collections.Counter()
+        for queue in self.node.queues.values():
+            refusals.update(queue.refusals())
         counter = exposition.render_counter
         return [
             *counter("total", "of", totals),
@@ -97,6 +102,7 @@
             *counter("sent_bytes_total", "audience", self.link.sent_bytes),
             *counter("repeats_refused_total", "service", refused),
             *counter("waits_refused_total", "service", waited),
+            *counter("admission_refused_total", "of", refusals),
             *counter("log_lines_dropped", "event", self.node.log.dropped),
         ]
 
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -11,7 +11,7 @@
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
-from lovageyoke.limits import admission_queue
+from lovageyoke.node import admission
 from lovageyoke.node import attempts
 from lovageyoke.node import feedback
 from lovageyoke.node import outcomes
@@ -41,6 +41,7 @@
         service: The service that serves it.
         arrived_ms: When the request arrived.
         waited_ms: Time that the caller spent on earlier tries.
+        account: Name of the client account, None if there is none.
         selector: Selects the upstreams.
         sink: Receives a large response body as it is streamed.
         running: The attempts in progress.
@@ -51,6 +52,7 @@
         last_kind: Error of the last failed attempt.
         last_response: The last error response of an upstream.
         steps: Steps of the request, for the log.
+        admission: Starts the first attempt when there is capacity.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         sink: hop_server.CallerConnection | None,
         *,
         waited_ms: float = 0.0,
+        account: str | None = None,
     ) -> None:
         self.node = node
         self.sending = sending
@@ -69,6 +72,7 @@
         self.service = service
         self.arrived_ms = sending.request.arrived_ms
         self.waited_ms = waited_ms
+        self.account = account
         self.selector = upstream_selector.UpstreamSelector(
             node,
             route,
@@ -85,6 +89,7 @@
         self.last_kind: kinds.ErrorKind | None = None
         self.last_response: messages.Response | None = None
         self.steps: list[str] = []
+        self.admission = admission.Admission(self)
 
     async def run(self) -> outcomes.Outcome:
         """Runs the request; cancels attempts that are left at the end."""
@@ -95,7 +100,7 @@
 
     async def run_attempts(self) -> outcomes.Outcome:
         """Starts attempts until a result determines the outcome."""
-        refusal = await self.admit()
+        refusal = await self.admission.start()
         if refusal is not None:
             return outcomes.Outcome(None, refusal)
         while True:
@@ -126,75 +131,6 @@
 
     # Starting
 
-    async def admit(self) -> kinds.ErrorKind | None:
-        """Starts the first attempt, now or when an upstream has capacity.
-
-        Returns:
-            The reason if no attempt was started, else None.
-        """
-        choices = self.selector.estimate_all(self.tried)
-        if not choices:
-            limited = self.node.rate_limiter.limited(self.service)
-            return self.overloaded() if limited else Kind.NO_UPSTREAM
-        now_ms = self.node.clock.now_ms()
-        soonest_ms = min(each.latency_ms for each in choices)
-        if now_ms + soonest_ms > self.sending.deadline_ms:
-            return self.overloaded()
-        queue = self.node.queue(self.service)
-        # A late request overtakes no queued one: it uses only capacity that
-        # is of no use to requests that can still meet their target.
-        passes = not queue.queued or self.selector.is_late()
-        if passes and self.try_start():
-            return None
-        left_ms = self.sending.deadline_ms - now_ms
-        wait_ms = left_ms * admission_queue.MAX_WAIT_SHARE
-        if not queue.admits(
-            self.route.priority,
-            wait_ms,
-            self.selector.sends_within(choices, wait_ms),
-        ):
-            return self.overloaded()
-        return await self.wait_in_queue(queue, now_ms + wait_ms)
-
-    def overloaded(self) -> kinds.ErrorKind:
-        """Returns the error of a refusal; logs the rate limits in its way."""
-        self.steps.extend(self.node.rate_limiter.story(self.service))
-        return Kind.OVERLOADED
-
-    async def wait_in_queue(
-        self, queue: admission_queue.AdmissionQueue, give_up_ms: float
-    ) -> kinds.ErrorKind | None:
-        """Queues the request until its first attempt starts or is refused."""
-        started: asyncio.Future[bool] = (
-            asyncio.get_running_loop().create_future()
-        )
-
-        def end(outcome: bool) -> None:
-            if not started.done():
-                started.set_result(outcome)
-
-        def start(freed: load_view.UpstreamView | None) -> bool:
-            if started.done() or not self.try_start(freed, True):
-                return False
-            end(True)
-            return True
-
-        queued_request = admission_queue.QueuedRequest(
-            self.route.priority,
-            self.arrived_ms,
-            self.selector.latest_start_ms,
-            give_up_ms,
-            start,
-            lambda: end(False),
-        )
-        queue.add(queued_request)
-        self.node.request_queued.set()
-        self.steps.append(f"wait behind={len(queue.queued) - 1}")
-        try:
-            return None if await started else Kind.OVERLOADED
-        finally:
-            queue.remove(queued_request)
-
     def try_start(
         self,
         freed: load_view.UpstreamView | None = None,
@@ -230,7 +166,9 @@
         if choice is None:
             # An upstream may have capacity soon.
             waits = not self.may_have_run
-            return None if waits and await self.admit() is None else kind
+            if waits and await self.admission.start() is None:
+                return None
+            return kind
         if self.sends > 0 and not self.spend_retry_budget():
             return kind
         self.start(choice, hedge=False)
