Run pipelined safe requests concurrently

One deployment's main load is pipelined look-ups of 100 ms with a target of 300 ms. They were handled one after another, so that the fourth of a batch missed its target although upstreams were free.

Consecutive GET and HEAD requests of safe routes now run concurrently, up to 8 of a connection, and are answered in order. Any other request waits for those before it and holds those behind it. A response that is not first in order is held; a streamed one is held with what has arrived, and its upstream is not read until its turn. A caller that disconnects cancels all its safe requests. Bytes behind the eighth request stay unparsed, and the connection is not read beyond 32 KB of them: one read could hold 14,000 requests.

Handlers now get the response to one request (hop/api.py ResponseWriter) instead of the connection. A malformed message behind valid requests is rejected after their responses; before, waiting requests were dropped. The time limit of a message also applies behind a request in progress.

--- a/src/lovageyoke/hop/api.py
+++ b/src/lovageyoke/hop/api.py
@@ -3,14 +3,10 @@
 from __future__ import annotations
 
 import abc
-import typing
 
 from lovageyoke.hop import messages
 from lovageyoke.routing import model
 
-if typing.TYPE_CHECKING:
-    from lovageyoke.hop import server
-
 
 class BodySink(abc.ABC):
     """Receives a response body as it arrives."""
@@ -28,12 +24,35 @@
         """Waits until the receiver can accept more data."""
 
 
+class ResponseWriter(BodySink):
+    """Writes the response to one request.
+
+    Attributes:
+        streaming: Whether a streamed response has been started and isn't
+            complete.
+    """
+
+    streaming: bool
+
+    @abc.abstractmethod
+    def send_response(self, response: messages.Response) -> None:
+        """Writes a complete response."""
+
+    @abc.abstractmethod
+    def end_response(self) -> None:
+        """Completes a streamed response."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """Breaks the caller's connection so that no response seems complete."""
+
+
 class RequestHandler(abc.ABC):
     """Handles the requests of callers."""
 
     @abc.abstractmethod
     async def handle(
-        self, request: messages.Request, caller: server.CallerConnection
+        self, request: messages.Request, caller: ResponseWriter
     ) -> None:
         """Handles a request and writes its response to the caller."""
 
@@ -49,6 +68,14 @@
     def may_cancel(self, request: messages.Request) -> bool:
         """Returns whether to cancel a request if its caller disconnects."""
 
+    def may_overlap(self, request: messages.Request) -> bool:
+        """Returns whether a request may run beside others of its connection.
+
+        Asked only for safe methods of pipelined requests.
+        """
+        del request
+        return False
+
     @abc.abstractmethod
     def leaving(self) -> bool:
         """Returns whether to close connections after the current response."""
--- a/src/lovageyoke/hop/server.py
+++ b/src/lovageyoke/hop/server.py
@@ -1,26 +1,29 @@
 """Server connections from callers, with pipelining.
 
-Requests are parsed, handled one at a time and responded to in order.
+Consecutive safe requests are handled concurrently and responded to in order.
 """
 
 from __future__ import annotations
 
 import asyncio
-import collections
 from collections.abc import Callable
 import typing
 
 import attrs
-import httptools
 
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import kinds
 from lovageyoke.hop import answers
 from lovageyoke.hop import api
-from lovageyoke.hop import line_limit
+from lovageyoke.hop import caller_exchange
 from lovageyoke.hop import messages
+from lovageyoke.hop import pipeline as request_pipeline
+from lovageyoke.hop import request_parser
+from lovageyoke.routing import model
 
-MAX_PIPELINED = 16  # Requests queued behind the one being handled.
+# Unparsed bytes above which a connection isn't read. Below it, reading
+# continues so that a disconnect is noticed.
+MAX_UNPARSED_BYTES = 32_768
 LOW_WATER_BYTES = 32_768
 HIGH_WATER_BYTES = 131_072
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -45,7 +48,7 @@
                 connection.close()
 
 
-class CallerConnection(asyncio.Protocol, api.BodySink):
+class CallerConnection(asyncio.Protocol, request_parser.RequestReceiver):
     """A connection from a caller.
 
     Attributes:
@@ -53,12 +56,16 @@
         clock: Source of time.
         connections: The listener's open connections.
         transport: The transport, None before the connection is made.
-        queued: Complete requests queued behind the current one.
-        task: Task that handles the current request, if any.
-        current: The request being handled, if any.
-        streaming: Whether a streamed response has been started.
-        response_complete: Whether the current response is complete.
+        parser: Parses the requests.
+        unparsed: Received bytes, parsed up to ``parsed_end``.
+        accepting: Whether further requests are accepted.
+        pipeline: The requests whose responses are not complete.
         read_timer: Read timeout for the next request.
+        receiving: Whether a message is being received, with its time limit.
+        reading_paused: Whether reading is paused.
+        continue_due: Whether the caller waits for 100 (Continue), which has
+            to follow the earlier responses.
+        writable: Set unless the write buffer is full.
     """
 
     def __init__(
@@ -71,21 +78,17 @@
         self.clock = clock
         self.connections = connections
         self.transport: asyncio.Transport | None = None
-        self.queued: collections.deque[messages.Request] = collections.deque()
-        self.task: asyncio.Task[None] | None = None
-        self.current: messages.Request | None = None
-        self.streaming = False
-        self.response_complete = False
-        self.chunked = False
-        self.rejected = False
+        self.parser = request_parser.RequestParser(self, clock)
+        self.unparsed = b""
+        self.parsed_end = 0
+        self.accepting = True
+        self.pipeline = request_pipeline.Pipeline(self, handler)
         self.read_timer: asyncio.TimerHandle | None = None
+        self.receiving = False
+        self.reading_paused = False
+        self.continue_due = False
         self.writable = asyncio.Event()
         self.writable.set()
-        self.parser: httptools.HttpRequestParser | None = (
-            httptools.HttpRequestParser(self)
-        )
-        self.line_limit = line_limit.LineLimit()
-        self.reset_message()
 
     # asyncio.Protocol
 
@@ -101,142 +104,98 @@
         self.start_read_timer(self.handler.limits().idle_timeout_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancels the current request if its handler allows that."""
+        """Cancels the requests whose handler allows that."""
         del exc
         self.connections.open.discard(self)
         self.stop_read_timer()
-        self.queued.clear()
+        self.discard_input()
         self.writable.set()
-        # The parser refers to this connection and may hold much of a request.
-        self.parser = None
-        self.reset_message()
-        if self.task is None or self.current is None:
-            return
-        if self.handler.may_cancel(self.current):
-            self.task.cancel()
+        self.pipeline.drop()
 
     def eof_received(self) -> bool:
         """Treats a half-closed connection as closed by the caller."""
         return False
 
     def pause_writing(self) -> None:
-        """Blocks ``wait_writable`` while the write buffer is full."""
+        """Holds further requests while the write buffer is full."""
         self.writable.clear()
 
     def resume_writing(self) -> None:
-        """Releases ``wait_writable`` after the write buffer has emptied."""
+        """Continues after the write buffer has emptied."""
         self.writable.set()
+        self.proceed()
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes; rejects a malformed message."""
-        if self.rejected or self.parser is None:
+        """Parses received bytes as far as requests can be accepted."""
+        if not self.accepting:
             return
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.reject_message(kinds.ErrorKind.BAD_REQUEST)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserCallbackError,
-        ):
-            self.reject_message(kinds.ErrorKind.BAD_REQUEST)
-        pending_bytes = self.line_limit.record_bytes(len(data))
-        if pending_bytes > self.handler.limits().header_bytes:
-            self.reject_message(kinds.ErrorKind.HEAD_TOO_LARGE)
+        if self.unparsed:
+            self.unparsed = self.unparsed[self.parsed_end :] + data
+        else:
+            self.unparsed = data
+        self.parsed_end = 0
+        self.parse()
 
-    # httptools callbacks
+    # request_parser.RequestReceiver
 
-    def on_message_begin(self) -> None:
-        """Starts a request and its read timeout."""
-        self.reset_message()
-        if self.current is None:
-            self.start_read_timer(self.handler.limits().header_timeout_ms)
+    def caller_limits(self) -> model.CallerLimits:
+        """Returns the limits that currently apply to callers."""
+        return self.handler.limits()
 
-    def on_url(self, url: bytes) -> None:
-        """Collects a part of the request target."""
-        self.target += url
-        self.add_head_bytes(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header."""
-        self.line_limit.record_progress()
-        self.headers.append((name.lower(), value))
-        self.add_head_bytes(len(name) + len(value) + 4)
-
-    def on_headers_complete(self) -> None:
-        """Sends an interim response if the caller expects one."""
-        self.line_limit.record_progress()
-        expected = messages.first_value(self.headers, b"expect")
-        if expected is not None and expected.lower() == b"100-continue":
+    def receive_request(self, request: messages.Request) -> None:
+        """Handles a request now or when those before it permit it."""
+        if not self.accepting:
+            return
+        self.stop_read_timer()
+        self.receiving = False
+        self.continue_due = False
+        self.pipeline.add(request)
+        if not request.keep_alive:
+            self.discard_input()
+
+    def expect_body(self) -> None:
+        """Sends 100 (Continue) after the responses to earlier requests."""
+        if self.pipeline.exchanges:
+            self.continue_due = True
+        else:
             self.write(CONTINUE_RESPONSE)
 
-    def on_body(self, body: bytes) -> None:
-        """Buffers a chunk of the body and enforces the size limit."""
-        self.line_limit.record_progress()
-        if len(self.body) + len(body) > self.handler.limits().body_bytes:
-            self.reject_message(kinds.ErrorKind.BODY_TOO_LARGE)
-            return
-        self.body += body
+    def reject(self, kind: kinds.ErrorKind) -> None:
+        """Responds to an unacceptable message and closes the connection.
 
-    def on_message_complete(self) -> None:
-        """Queues a complete request and handles it when it is next."""
-        self.line_limit.record_progress()
-        if self.rejected or self.parser is None:
+        Requests before it get their responses first.
+        """
+        if not self.accepting:
             return
-        request = messages.Request(
-            self.parser.get_method(),
-            self.target,
-            self.headers,
-            bytes(self.body),
-            self.parser.should_keep_alive(),
-            self.clock.now_ms(),
-        )
-        self.reset_message()
         self.stop_read_timer()
-        self.queued.append(request)
-        if self.task is None:
-            self.start_next()
-        elif len(self.queued) >= MAX_PIPELINED and self.transport is not None:
-            self.transport.pause_reading()
+        self.discard_input()
+        self.pipeline.add_response(answers.error_response(kind))
 
-    # Responses
-
-    def send_response(self, response: messages.Response) -> None:
-        """Writes a complete response."""
-        headers = answers.forwarded_headers(response)
-        headers.append((b"content-length", str(len(response.body)).encode()))
-        self.write_head(response, headers)
-        if self.current is None or self.current.method != b"HEAD":
-            self.write(response.body)
-        self.complete_response()
-
-    def start_response(self, response: messages.Response) -> None:
-        """Starts a response whose body is streamed."""
-        self.streaming = True
-        headers = answers.forwarded_headers(response)
-        length = response.header(b"content-length")
-        self.chunked = length is None
-        if length is not None:
-            headers.append((b"content-length", length))
-        else:
-            headers.append((b"transfer-encoding", b"chunked"))
-        self.write_head(response, headers)
+    def stop_accepting(self) -> None:
+        """Closes the connection after the response to the last request."""
+        self.discard_input()
+        self.pipeline.close_after_last()
+
+    # Used by the responses
 
-    def write_body(self, chunk: bytes) -> None:
-        """Writes a chunk of the body of a streamed response."""
-        if self.chunked:
-            chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
-        self.write(chunk)
+    def write(self, data: bytes) -> None:
+        """Writes data unless the connection is closing."""
+        if data and self.transport is not None and not self.disconnected():
+            self.transport.write(data)
 
-    def end_response(self) -> None:
-        """Completes a streamed response."""
-        if self.chunked:
-            self.write(b"0\r\n\r\n")
-        self.complete_response()
+    def closes_after(self, exchange: caller_exchange.CallerExchange) -> bool:
+        """Returns whether to close the connection after a response.
 
-    async def wait_writable(self) -> None:
-        """Waits until the write buffer is below its low-water mark."""
-        await self.writable.wait()
+        Nothing is accepted any more if so.
+        """
+        if exchange.request is None or not exchange.request.keep_alive:
+            return True
+        if not self.handler.leaving():
+            return False
+        if len(self.pipeline.exchanges) > 1 or self.unparsed:
+            return False
+        self.discard_input()
+        return True
 
     def abort(self) -> None:
         """Aborts the connection so that no response appears complete."""
@@ -251,102 +210,59 @@
 
     def idle(self) -> bool:
         """Returns whether no request is in progress or being received."""
-        return self.task is None and not self.queued and not self.target
+        return not (
+            self.pipeline.exchanges
+            or self.pipeline.running
+            or self.unparsed
+            or self.parser.in_message
+        )
+
+    def discard_input(self) -> None:
+        """Ignores all bytes that are not part of a received request."""
+        self.accepting = False
+        self.unparsed = b""
+        self.parser.close()
 
     def close(self) -> None:
         """Closes the connection after flushing the write buffer."""
         if self.transport is not None:
             self.transport.close()
 
-    def write(self, data: bytes) -> None:
-        """Writes data unless the connection is closing."""
-        if data and self.transport is not None and not self.disconnected():
-            self.transport.write(data)
-
-    def write_head(
-        self, response: messages.Response, headers: messages.Headers
-    ) -> None:
-        """Writes the head of a response."""
-        if self.closes_after_response():
-            headers.append((b"connection", b"close"))
-        start = b"HTTP/1.1 %d %b" % (response.status, response.reason)
-        self.write(messages.encode_head(start, headers))
-
-    def closes_after_response(self) -> bool:
-        """Returns whether to close the connection after the response."""
-        if self.current is None or not self.current.keep_alive:
-            return True
-        return self.handler.leaving() and not self.queued
-
-    def start_next(self) -> None:
-        """Starts to handle the next queued request."""
-        self.current = self.queued.popleft()
-        self.streaming = False
-        self.response_complete = False
-        self.connections.in_flight += 1
-        self.task = asyncio.ensure_future(self.run(self.current))
-
-    async def run(self, request: messages.Request) -> None:
-        """Handles a request, then closes the connection or continues."""
-        try:
-            await self.handler.handle(request, self)
-        except Exception as error:
-            self.handler.report_error(request, error)
-            if self.streaming or self.response_complete:
-                self.abort()
-            else:
-                self.send_response(
-                    answers.error_response(kinds.ErrorKind.INTERNAL)
-                )
-        finally:
-            self.connections.in_flight -= 1
-            self.task = None
-            closes = self.closes_after_response()
-            self.current = None
-            if self.disconnected():
-                self.queued.clear()
-            elif closes:
-                self.close()
-            else:
-                self.next_request()
-
-    def next_request(self) -> None:
-        """Handles the next queued request, or waits for one."""
-        if self.queued:
-            self.start_next()
-            if self.transport is not None:
-                self.transport.resume_reading()
+    def parse(self) -> None:
+        """Parses received bytes while requests can be accepted."""
+        while (
+            self.parsed_end < len(self.unparsed)
+            and len(self.pipeline.exchanges) < request_pipeline.MAX_PIPELINED
+            and self.writable.is_set()
+        ):
+            self.parsed_end = self.parser.feed(self.unparsed, self.parsed_end)
+        if self.parsed_end >= len(self.unparsed):
+            self.unparsed = b""
+            if self.parser.in_message and not self.receiving:
+                self.receiving = True
+                self.start_read_timer(self.handler.limits().header_timeout_ms)
+        too_many = len(self.unparsed) - self.parsed_end > MAX_UNPARSED_BYTES
+        if self.reading_paused == too_many or self.transport is None:
             return
-        if not self.target:
-            self.start_read_timer(self.handler.limits().idle_timeout_ms)
-
-    def complete_response(self) -> None:
-        """Marks the current response as complete."""
-        self.streaming = False
-        self.response_complete = True
-
-    def add_head_bytes(self, size: int) -> None:
-        """Rejects a request whose head is too large."""
-        self.head_bytes += size
-        if self.head_bytes > self.handler.limits().header_bytes:
-            self.reject_message(kinds.ErrorKind.HEAD_TOO_LARGE)
+        self.reading_paused = too_many
+        if too_many:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
-    def reject_message(self, kind: kinds.ErrorKind) -> None:
-        """Responds to an unacceptable message and closes the connection."""
-        if self.rejected:
-            return
-        self.rejected = True
-        self.stop_read_timer()
-        if self.task is None and not self.queued:
-            self.current = None
-            self.send_response(answers.error_response(kind))
-            self.close()
+    def proceed(self) -> None:
+        """Continues after a response or when more can be written."""
+        self.pipeline.proceed()
+        if self.disconnected():
             return
-        # The response to an earlier request is still pending; the connection
-        # is closed after it and no further request is parsed.
-        if self.current is not None:
-            self.current.keep_alive = False
-        self.queued.clear()
+        idle = not self.pipeline.exchanges
+        if self.continue_due and idle:
+            self.continue_due = False
+            self.write(CONTINUE_RESPONSE)
+        if self.unparsed:
+            self.parse()
+        elif idle and not self.receiving and self.accepting:
+            self.start_read_timer(self.handler.limits().idle_timeout_ms)
 
     def start_read_timer(self, timeout_ms: float) -> None:
         """Closes the connection unless a complete request arrives in time."""
@@ -359,8 +275,11 @@
     def on_read_timeout(self) -> None:
         """Closes an idle connection or rejects a slow request."""
         self.read_timer = None
-        if self.target and not self.disconnected():
-            self.reject_message(kinds.ErrorKind.REQUEST_TIMEOUT)
+        if self.receiving and self.unparsed:
+            # The rest of the request waits for earlier responses to be read.
+            self.start_read_timer(self.handler.limits().header_timeout_ms)
+        elif self.receiving and not self.disconnected():
+            self.reject(kinds.ErrorKind.REQUEST_TIMEOUT)
         else:
             self.close()
 
@@ -370,14 +289,6 @@
             self.read_timer.cancel()
             self.read_timer = None
 
-    def reset_message(self) -> None:
-        """Resets the parse state for the next request."""
-        self.target = b""
-        self.headers: messages.Headers = []
-        self.head_bytes = 0
-        # Chunks of a few bytes each would take many times their size.
-        self.body = bytearray()
-
 
 ProtocolFactory = Callable[[], CallerConnection]
 
--- a/src/lovageyoke/node/directory_handler.py
+++ b/src/lovageyoke/node/directory_handler.py
@@ -8,8 +8,8 @@
 
 from lovageyoke.fleet import directory as fleet_directory
 from lovageyoke.fleet import messages as fleet_messages
+from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
-from lovageyoke.hop import server as hop_server
 from lovageyoke.node import internal
 from lovageyoke.node import state as node_state
 
@@ -51,7 +51,7 @@
         self.codecs = codecs
 
     async def handle(
-        self, request: messages.Request, caller: hop_server.CallerConnection
+        self, request: messages.Request, caller: hop_api.ResponseWriter
     ) -> None:
         """Responds to one request."""
         caller.send_response(self.respond(request))
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -9,7 +9,6 @@
 from lovageyoke.hop import answers
 from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
-from lovageyoke.hop import server as hop_server
 from lovageyoke.node import outcomes
 from lovageyoke.node import race as node_race
 from lovageyoke.node import state as node_state
@@ -66,7 +65,7 @@
         self.races: dict[int, node_race.Race] = {}
 
     async def handle(
-        self, request: messages.Request, caller: hop_server.CallerConnection
+        self, request: messages.Request, caller: hop_api.ResponseWriter
     ) -> None:
         """Forwards one request and responds to its caller."""
         self.counters.requests += 1
@@ -120,6 +119,14 @@
         # is sent; after that it is completed.
         return race.sending.repeatable or not race.was_sent()
 
+    def may_overlap(self, request: messages.Request) -> bool:
+        """Returns whether a request may run beside others of its connection.
+
+        A request without a route is refused at once.
+        """
+        route = self.route_of(request)
+        return isinstance(route, kinds.ErrorKind) or route.idempotent
+
     def leaving(self) -> bool:
         """Returns whether to close connections after the next response."""
         return self.node.leaving
@@ -148,7 +155,7 @@
         request: messages.Request,
         route: model.Route,
         service: str,
-        caller: hop_server.CallerConnection,
+        caller: hop_api.ResponseWriter,
     ) -> node_race.Race:
         """Creates the race that answers a request."""
         caller_deadline_ms = self.decode_deadline(
@@ -174,7 +181,7 @@
         self,
         race: node_race.Race,
         outcome: outcomes.Outcome,
-        caller: hop_server.CallerConnection,
+        caller: hop_api.ResponseWriter,
     ) -> None:
         """Sends the outcome of a request to its caller."""
         response = outcome.response
@@ -200,7 +207,7 @@
     def send_error(
         self,
         request: messages.Request,
-        caller: hop_server.CallerConnection,
+        caller: hop_api.ResponseWriter,
         kind: kinds.ErrorKind,
         race: node_race.Race | None,
     ) -> None:
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -4,8 +4,8 @@
 
 from lovageyoke.fleet import follower as fleet_follower
 from lovageyoke.fleet import link as fleet_link
+from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
-from lovageyoke.hop import server as hop_server
 from lovageyoke.node import forwarder as node_forwarder
 from lovageyoke.node import internal
 from lovageyoke.node import prober as node_prober
@@ -47,7 +47,7 @@
         self.link = link
 
     async def handle(
-        self, request: messages.Request, caller: hop_server.CallerConnection
+        self, request: messages.Request, caller: hop_api.ResponseWriter
     ) -> None:
         """Responds to one scrape."""
         if request.path != PATH:
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -8,9 +8,9 @@
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
 from lovageyoke.errors import table
+from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.hop import messages
-from lovageyoke.hop import server as hop_server
 from lovageyoke.limits import admission_queue
 from lovageyoke.node import attempts
 from lovageyoke.node import feedback
@@ -59,7 +59,7 @@
         sending: hop_attempt.PreparedRequest,
         route: model.Route,
         service: str,
-        sink: hop_server.CallerConnection | None,
+        sink: hop_api.ResponseWriter | None,
         *,
         waited_ms: float = 0.0,
     ) -> None:
--- a/tests/fakes/handlers.py
+++ b/tests/fakes/handlers.py
@@ -27,9 +27,10 @@
         self.cancelled = 0
         self.failures: list[Exception] = []
         self.is_leaving = False
+        self.overlaps = False
 
     async def handle(
-        self, request: messages.Request, caller: hop_server.CallerConnection
+        self, request: messages.Request, caller: hop_api.ResponseWriter
     ) -> None:
         self.requests.append(request)
         try:
@@ -52,6 +53,10 @@
     def may_cancel(self, request: messages.Request) -> bool:
         return request.method == b"GET"
 
+    def may_overlap(self, request: messages.Request) -> bool:
+        del request
+        return self.overlaps
+
     def leaving(self) -> bool:
         return self.is_leaving
 
--- a/tests/hop/test_endless_bytes.py
+++ b/tests/hop/test_endless_bytes.py
@@ -62,7 +62,7 @@
     """Accepts nothing but has the default limits."""
 
     async def handle(
-        self, request: messages.Request, caller: hop_server.CallerConnection
+        self, request: messages.Request, caller: api.ResponseWriter
     ) -> None:
         raise NotImplementedError
 
