--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -13,7 +13,6 @@
 from lovageyoke.hop import answers
 from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import messages
-from lovageyoke.hop import server as hop_server
 from lovageyoke.limits import retry_after
 from lovageyoke.node import outcomes
 from lovageyoke.node import race as node_race
@@ -72,7 +71,7 @@
         self.key_salt = os.urandom(16)
 
     async def handle(
-        self, request: messages.Request, caller: hop_server.CallerConnection
+        self, request: messages.Request, caller: hop_api.ResponseWriter
     ) -> None:
         """Forwards one request and responds to its caller."""
         self.counters.requests += 1
@@ -132,6 +131,14 @@
         # is sent; after that it is completed.
         return race.sending.repeatable or not race.was_sent()
 
+    def may_overlap(self, request: messages.Request) -> bool:
+        """Returns whether a request may run beside others of its connection.
+
+        A request without a route is refused at once.
+        """
+        route = self.route_of(request)
+        return isinstance(route, kinds.ErrorKind) or route.idempotent
+
     def leaving(self) -> bool:
         """Returns whether to close connections after the next response."""
         return self.node.leaving
@@ -178,7 +185,7 @@
         request: messages.Request,
         route: model.Route,
         service: str,
-        caller: hop_server.CallerConnection,
+        caller: hop_api.ResponseWriter,
         account: model.ClientAccount | None,
     ) -> node_race.Race:
         """Creates the race that answers a request."""
@@ -215,7 +222,7 @@
         self,
         race: node_race.Race,
         outcome: outcomes.Outcome,
-        caller: hop_server.CallerConnection,
+        caller: hop_api.ResponseWriter,
     ) -> None:
         """Sends the outcome of a request to its caller."""
         response = outcome.response
@@ -241,7 +248,7 @@
     def send_error(
         self,
         request: messages.Request,
-        caller: hop_server.CallerConnection,
+        caller: hop_api.ResponseWriter,
         kind: kinds.ErrorKind,
         race: node_race.Race | None,
     ) -> None:
