Evacuate failure domains that operators name in the store

Operators ask with a key op/evacuate/DOMAIN that upstreams of a failure domain get nothing new. Only the retention of deleted entries in an outage doesn't apply to it.

A start still makes two calls: the second one lists all keys under op/. A read that isn't stale lists them as well, so three tests now expect a list in place of a get; the number of calls is as before.

Seen: tests/fleet, tests/node, tests/platform, tests/routing and tests/explain pass.

--- a/src/lovageyoke/explain/timeline.py
+++ b/src/lovageyoke/explain/timeline.py
@@ -90,6 +90,10 @@
         if other.kind in STATE_EVENTS:
             kind = "store" if other.kind.startswith("store") else other.kind
             latest[kind] = other
+        elif other.kind == "evacuation-begun":
+            latest[f"evacuation {other.fields.get('domain')}"] = other
+        elif other.kind == "evacuation-ended":
+            latest.pop(f"evacuation {other.fields.get('domain')}", None)
         elif other.kind in UPSTREAM_EVENTS and upstream in steps:
             latest[other.kind + upstream] = other
     ordered = sorted(latest.values(), key=lambda each: each.wall_ms)
--- a/src/lovageyoke/fleet/follower.py
+++ b/src/lovageyoke/fleet/follower.py
@@ -177,26 +177,16 @@
     # The store
 
     async def read_all(self, stale: bool) -> None:
-        """Reads the configuration and all upstreams from the store."""
+        """Reads all upstreams and the operators' keys from the store."""
         layout = self.replica.layout
         upstreams = await self.store.list_items(layout.upstream_prefix, stale)
-        configuration = await self.read_configuration(stale)
+        operators = await self.store.list_items(layout.operator_prefix, stale)
         self.record_success()
         now_ms = self.clock.now_ms()
-        self.replica.apply_read(upstreams, configuration, now_ms, stale)
+        self.replica.apply_read(upstreams, operators, now_ms, stale)
         if self.replica.configuration is None:
             await self.clock.sleep_ms(POLL_MS * 4)
 
-    async def read_configuration(self, stale: bool) -> revisions.Listing:
-        """Reads the configuration from the store; the listing may be empty."""
-        key = self.replica.layout.configuration_key
-        if stale:
-            listing = await self.store.list_items(key, stale=True)
-            found = [each for each in listing.items if each.key == key]
-            return revisions.Listing(tuple(found), listing.revision)
-        item, revision = await self.store.get(key)
-        return revisions.Listing(() if item is None else (item,), revision)
-
     async def watch_once(self) -> None:
         """Waits for changes in the store and applies them."""
         replica = self.replica
--- a/src/lovageyoke/fleet/registry.py
+++ b/src/lovageyoke/fleet/registry.py
@@ -1,10 +1,10 @@
-"""Upstreams by their entries in the store.
+"""Upstreams and evacuations by their entries in the store.
 
 This module does no I/O. It accepts listings and changes in any order and
 never reverts to an older revision of a key. That a key is absent is known at
 a revision, too: a write from before that revision is obsolete. An entry that
 is deleted during or shortly after a store outage is retained until its
-upstream has had time to register again.
+upstream has had time to register again; evacuations end at once.
 """
 
 from __future__ import annotations
@@ -31,21 +31,27 @@
 
     Attributes:
         revision: Revision of its last change.
-        upstream: The upstream, None if the entry is invalid or deleted.
+        value: The upstream or the evacuation, None if the entry is invalid or
+            deleted.
         deleted_ms: When the entry was deleted during a store outage; None if
             it wasn't.
     """
 
     revision: int
-    upstream: model.Upstream | None = None
+    value: model.Upstream | model.Evacuation | None = None
     deleted_ms: float | None = None
 
+    @property
+    def upstream(self) -> model.Upstream | None:
+        """The upstream, None if there is none."""
+        return self.value if isinstance(self.value, model.Upstream) else None
+
 
 class Registry:
-    """The entries of upstreams, by key.
+    """The entries of upstreams and evacuations, by key.
 
     Attributes:
-        decode: Decodes an upstream from its key and value.
+        decode: Decodes an entry from its key and value.
         known: State of each key; deleted keys are kept as tombstones with
             their revision.
         retained: Keys that were deleted during a store outage.
@@ -58,7 +64,7 @@
 
     def __init__(
         self,
-        decode: Callable[[str, bytes], model.Upstream],
+        decode: Callable[[str, bytes], model.Upstream | model.Evacuation],
         on_rejected: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.decode = decode
@@ -88,33 +94,37 @@
         if self.is_obsolete(key, revision):
             return False
         known = self.known.get(key)
-        before = known.upstream if known else None
+        before = known.value if known else None
+        decoded: model.Upstream | model.Evacuation | None = None
         try:
-            upstream = self.decode(key, value)
+            decoded = self.decode(key, value)
         except exceptions.DecodeError as error:
             self.rejected += 1
             self.on_rejected(error.detail)
-            upstream = None
-        if upstream is not None and before is not None:
+        if (
+            isinstance(decoded, model.Upstream)
+            and isinstance(before, model.Upstream)
+            and decoded.is_older_than(before)
+        ):
             # The store may do a late write of an upstream after a newer one.
-            upstream = before if upstream.is_older_than(before) else upstream
-        self.known[key] = KeyState(revision, upstream)
-        return upstream != before
+            decoded = before
+        self.known[key] = KeyState(revision, decoded)
+        return decoded != before
 
     def remove(self, key: str, revision: int, now_ms: float) -> bool:
         """Applies a deletion; returns whether the upstreams changed."""
         if self.is_obsolete(key, revision):
             return False
         known = self.known.get(key)
-        if known is None or known.upstream is None:
+        if known is None or known.value is None:
             self.known[key] = KeyState(revision)
             return False
         known.revision = revision
-        if self.in_outage(now_ms):
+        if known.upstream is not None and self.in_outage(now_ms):
             known.deleted_ms = now_ms
             self.retained.add(key)
             return False
-        known.upstream = None
+        known.value = None
         return True
 
     def apply_listing(self, listing: revisions.Listing, now_ms: float) -> bool:
@@ -133,8 +143,8 @@
         deletion is not sent again, so a receiver would keep them forever.
         """
         for key, known in self.known.items():
-            if known.upstream is not None and known.deleted_ms is None:
-                yield snapshot.Entry(key, known.revision, known.upstream)
+            if known.value is not None and known.deleted_ms is None:
+                yield snapshot.Entry(key, known.revision, known.value)
 
     def apply_snapshot(self, whole: snapshot.Snapshot, now_ms: float) -> bool:
         """Applies a peer's snapshot; missing keys count as deleted.
@@ -148,9 +158,9 @@
             present.add(entry.key)
             if not self.is_obsolete(entry.key, entry.revision):
                 known = self.known.get(entry.key)
-                before = known.upstream if known else None
-                self.known[entry.key] = KeyState(entry.revision, entry.upstream)
-                changed |= entry.upstream != before
+                before = known.value if known else None
+                self.known[entry.key] = KeyState(entry.revision, entry.value)
+                changed |= entry.value != before
         return self.remove_missing(present, whole.revision, now_ms) or changed
 
     def remove_missing(
@@ -167,7 +177,7 @@
         for key, known in list(self.known.items()):
             gone = key not in present and known.revision < revision
             gone = gone and known.deleted_ms is None
-            if gone and known.upstream is not None:
+            if gone and known.value is not None:
                 changed |= self.remove(key, revision, now_ms)
         return changed
 
@@ -186,18 +196,30 @@
             elif not outage or now_ms - known.deleted_ms >= MAX_RETENTION_MS:
                 self.retained.discard(key)
                 known.deleted_ms = None
-                known.upstream = None
+                known.value = None
                 changed = True
         if len(self.known) > MAX_TOMBSTONES:
             self.known = {
                 key: each
                 for key, each in self.known.items()
-                if each.upstream is not None
+                if each.value is not None
             }
         return changed
 
+    def evacuated_domains(self) -> set[str]:
+        """Returns the failure domains that are being evacuated."""
+        return {
+            each.value.failure_domain
+            for each in self.known.values()
+            if isinstance(each.value, model.Evacuation)
+        }
+
     def upstreams(self) -> Iterable[model.Upstream]:
-        """Returns the upstreams; only the newest entry of each address."""
+        """Returns the upstreams; only the newest entry of each address.
+
+        Those in evacuated failure domains are marked.
+        """
+        evacuated = self.evacuated_domains()
         newest: dict[tuple[str, int], KeyState] = {}
         for known in self.known.values():
             upstream = known.upstream
@@ -208,7 +230,9 @@
             if other is None or other.revision < known.revision:
                 newest[address] = known
         return [
-            each.upstream
+            attrs.evolve(each.upstream, evacuated=True)
+            if each.upstream.failure_domain in evacuated
+            else each.upstream
             for each in newest.values()
             if each.upstream is not None
         ]
--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -1,4 +1,4 @@
-"""A process's replica of the store: configuration, upstreams and revision.
+"""A process's replica of the store: configuration, entries and revision.
 
 This module does no I/O. It accepts responses of the store and messages of
 other processes in any order and never reverts to an older version, revision
@@ -13,6 +13,7 @@
 
 from lovageyoke.errors import exceptions
 from lovageyoke.fleet import changes
+from lovageyoke.fleet import entry_log
 from lovageyoke.fleet import layout as fleet_layout
 from lovageyoke.fleet import messages
 from lovageyoke.fleet import registry as fleet_registry
@@ -38,7 +39,8 @@
         on_upstreams: Called with the upstreams when they changed.
         broadcast: Sends a configuration to other processes. The second argument
             is whether it was received from a peer.
-        registry: The upstream entries.
+        registry: The entries of upstreams and evacuations.
+        entry_log: Logs changes of them.
         configuration: The newest configuration, None before the first.
         packed: Its compressed value in the store.
         configuration_revision: The store's revision of that value.
@@ -69,8 +71,9 @@
         self.on_configuration = on_configuration
         self.on_upstreams = on_upstreams
         self.broadcast = broadcast
+        self.entry_log = entry_log.EntryLog(log)
         self.registry = fleet_registry.Registry(
-            layout.decode_upstream, self.entry_rejected
+            layout.decode_entry, self.entry_log.log_rejected
         )
         self.configuration: model.Configuration | None = None
         self.packed = b""
@@ -139,7 +142,7 @@
     def apply_read(
         self,
         upstreams: revisions.Listing,
-        configuration: revisions.Listing,
+        operators: revisions.Listing,
         now_ms: float,
         stale: bool,
     ) -> None:
@@ -147,17 +150,22 @@
 
         Args:
             upstreams: The entries of all upstreams.
-            configuration: The configuration, empty if there is none.
+            operators: The operators' keys: the configuration, if there is
+                one, and the evacuations.
             now_ms: The time.
             stale: Whether the read may be seconds old.
         """
-        for each in configuration.items:
-            self.apply_configuration(each.value, each.revision)
+        entries = list(upstreams.items)
+        for each in operators.items:
+            if each.key == self.layout.configuration_key:
+                self.apply_configuration(each.value, each.revision)
+            elif self.layout.is_entry(each.key):
+                entries.append(each)
         # Stale reads may differ in age. Changes after the older one may be
         # missing, so the watch continues from there.
-        revision = min(upstreams.revision, configuration.revision)
+        revision = min(upstreams.revision, operators.revision)
         changed = self.registry.apply_listing(
-            revisions.Listing(upstreams.items, revision), now_ms
+            revisions.Listing(tuple(entries), revision), now_ms
         )
         self.finish_loading(revision, changed, "listed", now_ms)
         if not stale:
@@ -335,7 +343,7 @@
 
     def apply_change(self, change: messages.EntryChange, now_ms: float) -> bool:
         """Applies a change; returns whether the upstreams changed."""
-        if not change.key.startswith(self.layout.upstream_prefix):
+        if not self.layout.is_entry(change.key):
             return False
         self.recent.add(change, now_ms)
         if change.value is None:
@@ -384,15 +392,6 @@
     def upstreams_changed(self, source: str) -> None:
         """Logs the upstreams and passes them to ``on_upstreams``."""
         upstreams = list(self.registry.upstreams())
-        self.log.event(
-            "upstreams",
-            source=source,
-            revision=self.revision,
-            known=len(upstreams),
-            draining=[each.upstream_id for each in upstreams if each.draining],
-        )
+        evacuated = self.registry.evacuated_domains()
+        self.entry_log.log_changes(source, self.revision, upstreams, evacuated)
         self.on_upstreams(upstreams)
-
-    def entry_rejected(self, detail: str) -> None:
-        """Logs an invalid entry."""
-        self.log.event("entry-rejected", detail=detail)
--- a/src/lovageyoke/fleet/snapshot.py
+++ b/src/lovageyoke/fleet/snapshot.py
@@ -1,4 +1,6 @@
-"""Transfers all upstream entries from one process to another.
+"""Transfers all entries from one process to another.
+
+The entries are those of upstreams and of evacuations.
 
 A process that starts or has missed changes requests a snapshot from a peer,
 which reduces the number of calls to the store.
@@ -23,26 +25,29 @@
 MAX_PARTS = 400
 MAX_INCOMPLETE = 4  # Snapshots that are received at the same time.
 MAX_PART_BYTES = 1_000_000  # Decompressed.
+# The fields of an upstream in its entry come before those that each process
+# derives.
+_UPSTREAM_FIELDS = len(attrs.fields(model.Upstream)) - 1
 
 
 @attrs.frozen
 class Entry:
-    """An upstream's entry.
+    """An entry of an upstream or an evacuation.
 
     Attributes:
         key: Key of the entry in the store.
         revision: Revision of its last change.
-        upstream: The upstream that it names.
+        value: The upstream or the evacuation that it names.
     """
 
     key: str
     revision: int
-    upstream: model.Upstream
+    value: model.Upstream | model.Evacuation
 
 
 @attrs.frozen
 class Snapshot:
-    """All upstream entries at one revision.
+    """All entries at one revision.
 
     Attributes:
         revision: The revision.
@@ -134,12 +139,17 @@
 
 def _pack_entries(entries: Sequence[Entry]) -> bytes:
     rows = [
-        [each.key, each.revision, list(attrs.astuple(each.upstream))]
-        for each in entries
+        [each.key, each.revision, _value_fields(each.value)] for each in entries
     ]
     return zlib.compress(cbor2.dumps(rows), 1)
 
 
+def _value_fields(value: model.Upstream | model.Evacuation) -> object:
+    if isinstance(value, model.Evacuation):
+        return value.failure_domain
+    return list(attrs.astuple(value)[:_UPSTREAM_FIELDS])
+
+
 @decoding.total("snapshot part")
 def _unpack_entries(packed: bytes) -> list[Entry]:
     unpacker = zlib.decompressobj()
@@ -149,8 +159,14 @@
     return [_entry(*row) for row in cbor2.loads(raw)]
 
 
-def _entry(key: str, revision: int, fields: list[Any]) -> Entry:
-    upstream = model_checks.check_upstream(model.Upstream(*fields))
+def _entry(key: str, revision: int, fields: list[Any] | str) -> Entry:
+    value: model.Upstream | model.Evacuation
+    if isinstance(fields, str):
+        value = model.Evacuation(decoding.text(fields))
+    else:
+        value = model_checks.check_upstream(
+            model.Upstream(*fields[:_UPSTREAM_FIELDS])
+        )
     if not isinstance(key, str):
         raise ValueError("expected a text string")
-    return Entry(key, decoding.integer(revision), upstream)
+    return Entry(key, decoding.integer(revision), value)
--- a/src/lovageyoke/node/assembly.py
+++ b/src/lovageyoke/node/assembly.py
@@ -31,8 +31,11 @@
 LAYOUT = fleet_layout.Layout(
     entries.UPSTREAM_PREFIX,
     entries.CONFIGURATION_KEY,
+    entries.EVACUATION_PREFIX,
+    entries.OPERATOR_PREFIX,
     "",
     entries.decode_upstream,
+    entries.decode_evacuation,
     entries.decode_configuration,
 )
 CODECS = directory_handler.NodeCodecs(
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -112,6 +112,9 @@
             "store_ok": self.follower.store_ok,
             "peers_live": len(self.node.members.live(now_ms)),
             "upstreams_known": len(self.node.loads.by_id),
+            "domains_evacuated": len(
+                self.follower.replica.registry.evacuated_domains()
+            ),
             "requests_waiting": waiting,
             "upstreams_rate_limited": self.node.rate_limiter.limited_count(),
             "ready": self.node.ready,
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -304,11 +304,12 @@
     def upstreams_changed(self, upstreams: list[model.Upstream]) -> None:
         """Applies a new list of upstreams.
 
-        Pooled connections to removed or draining upstreams are closed.
+        Pooled connections to upstreams that may get no more requests are
+        closed.
         """
         before = set(self.node.client.pool.idle)
         self.node.apply_upstreams(upstreams)
-        known = {each.key for each in upstreams if not each.draining}
+        known = {each.key for each in upstreams if each.accepts_requests}
         for key in before - known:
             self.node.client.pool.drop(key)
 
--- a/src/lovageyoke/node/rate_limiter.py
+++ b/src/lovageyoke/node/rate_limiter.py
@@ -315,7 +315,7 @@
         upstreams = [
             each
             for each in self.loads.of_service(service)
-            if not each.upstream.draining
+            if each.upstream.accepts_requests
         ]
         limits = [each.rate_limit for each in upstreams]
         rates = [each.per_s for each in limits if each is not None]
--- a/src/lovageyoke/platform/entries.py
+++ b/src/lovageyoke/platform/entries.py
@@ -11,7 +11,9 @@
 from lovageyoke.schema import decoding
 
 UPSTREAM_PREFIX = "servers/"
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 
 _STATES = {"ready": False, "draining": True}
 _REPEAT_RULES = {
@@ -53,6 +55,19 @@
     )
 
 
+@decoding.total("evacuation")
+def decode_evacuation(key: str) -> model.Evacuation:
+    """Decodes the evacuation of an entry under ``op/evacuate/``.
+
+    Its key alone asks for the evacuation; the value is not read, so that a
+    malformed one doesn't keep requests flowing to the failure domain.
+
+    Raises:
+        DecodeError: The key names no failure domain.
+    """
+    return model.Evacuation(decoding.text(key.removeprefix(EVACUATION_PREFIX)))
+
+
 @decoding.total("configuration")
 def decode_configuration(value: bytes) -> model.Configuration:
     """Decodes the configuration written by operators.
--- a/src/lovageyoke/routing/model.py
+++ b/src/lovageyoke/routing/model.py
@@ -24,6 +24,8 @@
         cold_ms: Remaining warm-up time in milliseconds.
         sequence: Number of the heartbeat that stated this; increases with
             each heartbeat of one incarnation.
+        evacuated: Whether its failure domain is being evacuated. It is
+            derived by each process and not part of the upstream's entry.
     """
 
     upstream_id: str
@@ -36,6 +38,12 @@
     draining: bool = False
     cold_ms: float = 0.0
     sequence: int = 0
+    evacuated: bool = False
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether new requests may be sent to it."""
+        return not (self.draining or self.evacuated)
 
     @property
     def key(self) -> tuple[str, int]:
@@ -51,6 +59,17 @@
         return same and self.sequence < other.sequence
 
 
+@attrs.frozen
+class Evacuation:
+    """An operator's request to send nothing more to a failure domain.
+
+    Attributes:
+        failure_domain: The failure domain.
+    """
+
+    failure_domain: str
+
+
 class RepeatRule(enum.Enum):
     """Whether the requests of a route may run more than once."""
 
--- a/src/lovageyoke/routing/placement.py
+++ b/src/lovageyoke/routing/placement.py
@@ -111,7 +111,8 @@
 
 def usable(view: load_view.UpstreamView, now_ms: float) -> bool:
     """Returns whether an upstream accepts requests of this process."""
-    return not (view.upstream.draining or math.isinf(view.rate_wait_ms(now_ms)))
+    accepts = view.upstream.accepts_requests
+    return accepts and math.isfinite(view.rate_wait_ms(now_ms))
 
 
 def evaluate(
--- a/src/lovageyoke/routing/subset.py
+++ b/src/lovageyoke/routing/subset.py
@@ -27,7 +27,7 @@
         node_id: Id of the process.
         failure_domain: Failure domain of the process.
     """
-    available = [each for each in views if not each.upstream.draining]
+    available = [each for each in views if each.upstream.accepts_requests]
     if len(available) <= MAX_WHOLE_SIZE:
         return available
     available.sort(key=lambda each: _rank(node_id, each))
--- a/tests/explain/test_timeline.py
+++ b/tests/explain/test_timeline.py
@@ -54,6 +54,18 @@
     )
 
 
+def test_a_timeline_shows_the_evacuations_in_force() -> None:
+    log = [
+        line(100, "n1", "evacuation-begun", domain="a"),
+        line(110, "n1", "evacuation-begun", domain="b"),
+        line(120, "n1", "evacuation-ended", domain="a"),
+        line(300, "n1", "request", request="r1", outcome="no-upstream"),
+    ]
+    found = timeline.explain(timeline.parse(log), "r1")
+    believed = "  believed for 190 ms: 110 n1 evacuation-begun domain=b"
+    assert_that(found[:-1], matchers.Equals([believed]))
+
+
 def test_an_unknown_request_is_reported() -> None:
     (found,) = timeline.explain(timeline.parse(LOG), "r2")
     assert_that(found, matchers.Contains("no line"))
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -133,7 +133,7 @@
 
     def on_new_upstreams(self, upstreams: list[model.Upstream]) -> None:
         self.upstreams = {
-            each.upstream_id for each in upstreams if not each.draining
+            each.upstream_id for each in upstreams if each.accepts_requests
         }
         self.node.apply_upstreams(upstreams)
 
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -45,8 +45,22 @@
     return model.Configuration(int(value), (), {}, model.CallerLimits())
 
 
+def decode_evacuation(key: str) -> model.Evacuation:
+    domain = key.removeprefix("config-evacuate/")
+    if not domain:
+        raise exceptions.DecodeError("no failure domain")
+    return model.Evacuation(domain)
+
+
 LAYOUT = fleet_layout.Layout(
-    "up/", "config", "", decode_upstream, decode_configuration
+    "up/",
+    "config",
+    "config-evacuate/",
+    "config",
+    "",
+    decode_upstream,
+    decode_evacuation,
+    decode_configuration,
 )
 
 
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -125,7 +125,7 @@
     store.remove("up/u1")
     store.compacted_revision = store.revision
     await harness.follower.step()
-    assert_that(store.call_names[-2:], matchers.Equals(["list", "get"]))
+    assert_that(store.call_names[-2:], matchers.Equals(["list", "list"]))
     assert_that(harness.upstreams, matchers.Equals(["u2"]))
 
 
@@ -178,7 +178,7 @@
     calls = len(store.call_names)
     clock.advance(fleet_follower.PEER_TIMEOUT_MS)
     await harness.follower.step()
-    assert_that(store.call_names[calls:], matchers.Equals(["list", "get"]))
+    assert_that(store.call_names[calls:], matchers.Equals(["list", "list"]))
     assert_that(harness.upstreams, matchers.Equals(["u2"]))
 
 
--- a/tests/fleet/test_missed_changes.py
+++ b/tests/fleet/test_missed_changes.py
@@ -89,7 +89,7 @@
     replica.apply_heartbeat(wrong, clock.now_ms())
     clock.advance(fleet_follower.PEER_TIMEOUT_MS)
     await harness.follower.step()
-    assert_that(store.call_names[-2:], matchers.Equals(["list", "get"]))
+    assert_that(store.call_names[-2:], matchers.Equals(["list", "list"]))
     await harness.follower.step()
     assert_that(store.call_names[-1], matchers.Equals("watch"))
 
--- a/tests/fleet/test_replica_model.py
+++ b/tests/fleet/test_replica_model.py
@@ -24,7 +24,7 @@
 from lovageyoke.store import revisions
 
 PROCESSES = 3
-KEYS = [f"up/u{index}" for index in range(3)]
+KEYS = [*(f"up/u{index}" for index in range(3)), "config-evacuate/a"]
 PROCESS = st.integers(0, PROCESSES - 1)
 AGE = st.integers(0, 6)  # In revisions.
 
@@ -178,7 +178,7 @@
     # What must always hold
 
     @stateful.invariant()
-    def no_upstream_is_older_than_its_replica(self) -> None:
+    def no_entry_is_older_than_its_replica(self) -> None:
         for replica in self.replicas:
             if not replica.listed:
                 continue
@@ -187,7 +187,7 @@
             known = {
                 key
                 for key, each in replica.registry.known.items()
-                if each.upstream is not None
+                if each.value is not None
             }
             # Keys that change later may already have been changed.
             assert_that(
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -141,6 +141,33 @@
     assert_that(leaving.arrivals, matchers.Equals({}))
 
 
+async def test_an_evacuated_domain_gets_nothing_but_checks(
+    harness: conftest.ProcessHarness,
+) -> None:
+    assert harness.process is not None
+    prober = harness.process.prober
+    harness.store.put("op/evacuate/\u00e9 /", b"\xff")
+    harness.store.put("op/evacuate/", b"{}")
+    harness.store.put("op/evacuate/east-a", b"{}")
+    views = harness.node.loads.by_id
+    await harness.wait_until(lambda: views_closed(harness))
+    answer = await harness.send_request(identity="evacuated")
+    assert_that(answer.status_code, matchers.Equals(503))
+    assert_that(harness.arrival_count("evacuated"), matchers.Equals(0))
+    sent = prober.sent
+    await harness.wait_until(lambda: prober.sent > sent + 2)
+    assert_that(len(prober.tasks), matchers.Equals(len(views)))
+    harness.store.remove("op/evacuate/east-a")
+    await harness.wait_until(lambda: not views_closed(harness))
+    answer = await harness.send_request(identity="returned")
+    assert_that(answer.status_code, matchers.Equals(200))
+
+
+def views_closed(harness: conftest.ProcessHarness) -> bool:
+    views = harness.node.loads.by_id.values()
+    return not any(each.upstream.accepts_requests for each in views)
+
+
 async def test_the_directory_returns_this_process(
     harness: conftest.ProcessHarness,
 ) -> None:
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -20,7 +20,7 @@
     r"|backend-load|not-executed|response-signature)"
     r"|kv-(?:key|range|watch|txn|lease|keep)"
     r"|traffic_split|rule_set|cold_remaining|has_more|is_stale"
-    r"|op/config|/readiness|/resolve|LOVAGEYOKE_NODE_FILE",
+    r"|op/config|op/evacuate|/readiness|/resolve|LOVAGEYOKE_NODE_FILE",
     re.IGNORECASE,
 )
 
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -206,3 +206,14 @@
     service = configuration.services[raw["clusters"][0]["name"]]
     assert_that(service.cold_start_ms, matchers.Equals(3_000.0))
     assert_that(service.cold_rate_per_s, matchers.Equals(5.0))
+
+
+def test_an_evacuation_is_decoded_from_its_key():
+    found = entries.decode_evacuation("op/evacuate/bavaria-a")
+    assert_that(found.failure_domain, matchers.Equals("bavaria-a"))
+
+
+@pytest.mark.parametrize("domain", ["", "a\n", "a" * 300, "\ud800"])
+def test_an_evacuation_without_a_valid_domain_is_rejected(domain):
+    with pytest.raises(exceptions.DecodeError):
+        entries.decode_evacuation(f"op/evacuate/{domain}")
--- a/tests/platform/test_hostile_values.py
+++ b/tests/platform/test_hostile_values.py
@@ -356,3 +356,18 @@
 def test_a_message_with_huge_numbers_is_rejected() -> None:
     datagram = cbor2.dumps([codec.FORMAT, 4, 10**400])
     assert_that(decodes("message", datagram), matchers.Equals(False))
+
+
+@hypothesis.given(st.text(st.characters(exclude_categories=()), max_size=300))
+def test_any_key_of_an_evacuation_decodes_or_is_a_decode_error(
+    domain: str,
+) -> None:
+    # An operator's odd key must not end the watch of a process.
+    try:
+        found = entries.decode_evacuation(entries.EVACUATION_PREFIX + domain)
+    except exceptions.DecodeError:
+        return
+    assert_that(found.failure_domain, matchers.Equals(domain))
+    entry = snapshot.Entry("e", 7, found)
+    for part in snapshot.pack(snapshot.Snapshot(7, 5, (entry,))):
+        codec.decode(codec.encode(part))
