--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -21,7 +21,7 @@
     r"|api-key"
     r"|kv-(?:key|range|watch|txn|lease|keep)"
     r"|traffic_split|rule_set|cold_remaining|has_more|is_stale"
-    r"|op/config|/readiness|/resolve|LOVAGEYOKE_NODE_FILE",
+    r"|op/config|op/evacuate|/readiness|/resolve|LOVAGEYOKE_NODE_FILE",
     re.IGNORECASE,
 )
 
