Compute the view of the fleet only when it changes

Each heartbeat counted, filtered and sorted all known processes, and the view was computed again ten times a second and after each received change. The candidates, the count and the view are now cached until a state changes or a domain's collector falls silent; processes are indexed by domain, and recent collectors are kept apart. The simulated fleet now keeps the messenger's minimum gap between urgent heartbeats.

--- a/src/lovageyoke/fleet/collectors.py
+++ b/src/lovageyoke/fleet/collectors.py
@@ -10,6 +10,9 @@
 
 from __future__ import annotations
 
+import bisect
+
+from lovageyoke.fleet import member as fleet_member
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
 
@@ -30,11 +33,27 @@
     They are ordered by capacity, highest first. Processes that are leaving
     are excluded.
     """
-    states = [each.state for each in members.of_domain(domain)]
-    if domain == members.domain:
-        states.append(members.own)
-    able = [each for each in states if not (each.gone or each.leaving)]
-    return sorted(able, key=_rank)
+    states = [each.state for each in _ranked(members, domain)]
+    own = members.own
+    if domain == members.domain and not (own.gone or own.leaving):
+        bisect.insort(states, own, key=_rank)
+    return states
+
+
+def _ranked(
+    members: fleet_members.Members, domain: str
+) -> list[fleet_member.Member]:
+    """Returns the candidates other than this process, best first."""
+    found = members.ranked.get(domain)
+    if found is None:
+        able = [
+            each
+            for each in members.of_domain(domain)
+            if not (each.state.gone or each.state.leaving)
+        ]
+        found = sorted(able, key=lambda each: _rank(each.state))
+        members.ranked[domain] = found
+    return found
 
 
 def should_collect(
@@ -49,21 +68,35 @@
     """
     if _is_isolated(members, now_ms, started_ms):
         return False
-    own_id = members.own.peer.node_id
-    position = 0
-    heard_ms = started_ms
-    for state in candidates(members, members.domain):
-        if state.peer.node_id == own_id:
-            break
-        position += 1
-        member = members.others[state.peer.node_id]
-        heard_ms = max(heard_ms, member.collector_heard_ms)
+    # A process that is leaving is no candidate, so all others precede it.
+    own_rank = _LAST_RANK if members.own.leaving else _rank(members.own)
+    position = bisect.bisect_left(
+        _ranked(members, members.domain),
+        own_rank,
+        key=lambda each: _rank(each.state),
+    )
     if position == 0:
         return True
+    heard_ms = started_ms
+    for member in _recent_collectors(members, members.domain):
+        if _rank(member.state) < own_rank:
+            heard_ms = max(heard_ms, member.collector_heard_ms)
     delays = min(position - 1, MAX_RANK_DELAYS)
     return now_ms - heard_ms > SILENT_MS + RANK_DELAY_MS * delays
 
 
+def _recent_collectors(
+    members: fleet_members.Members, domain: str
+) -> list[fleet_member.Member]:
+    """Returns the candidates that were recently heard as collectors."""
+    return [
+        each
+        for each in members.collectors.values()
+        if each.peer.failure_domain == domain
+        and not (each.state.gone or each.state.leaving)
+    ]
+
+
 def _is_isolated(
     members: fleet_members.Members, now_ms: float, started_ms: float
 ) -> bool:
@@ -72,12 +105,10 @@
     Its own messages may still arrive, so its peers would accept it as
     collector although it has nothing to forward.
     """
-    others = [each for each in members.others.values() if not each.state.gone]
-    if not others:
+    if members.known() == 1:
         return False
-    heard_ms = max(each.heard_ms for each in others)
-    known_ms = max(each.known_ms for each in others)
-    return now_ms - max(heard_ms, known_ms, started_ms) > ISOLATED_MS
+    newest_ms = max(members.last_heard_ms, members.last_known_ms, started_ms)
+    return now_ms - newest_ms > ISOLATED_MS
 
 
 def local_targets(
@@ -110,7 +141,7 @@
         now_ms: The time.
     """
     count = COLLECTORS if turn % STANDBY_EVERY == 0 else 1
-    domains = {each.peer.failure_domain for each in members.others.values()}
+    domains = {each for each, found in members.by_domain.items() if found}
     domains.discard(members.domain)
     return [
         peer
@@ -137,7 +168,7 @@
     They are the best collector candidates of its own domain and of each
     other domain.
     """
-    domains = {each.peer.failure_domain for each in members.others.values()}
+    domains = {each for each, found in members.by_domain.items() if found}
     domains.add(members.domain)
     found = []
     for each in sorted(domains):
@@ -159,24 +190,28 @@
     their known ranking may be outdated. One of the remaining candidates is
     therefore added in round-robin order.
     """
-    found: list[messages.Peer] = []
-    others: list[messages.Peer] = []
-    own_id = members.own.peer.node_id
-    for state in candidates(members, domain):
-        node_id = state.peer.node_id
-        if node_id == own_id:
-            continue
-        member = members.others[node_id]
-        heard = now_ms - member.collector_heard_ms <= SILENT_MS
-        (found if heard else others).append(state.peer)
+    ranked = _ranked(members, domain)
+    found = [
+        each
+        for each in _recent_collectors(members, domain)
+        if now_ms - each.collector_heard_ms <= SILENT_MS
+    ]
     if found:
-        return found + others[: max(0, count - len(found))]
-    rest = others[COLLECTORS:]
-    return (
-        others[:COLLECTORS] + rest[turn % len(rest) :][:1] if rest else others
-    )
+        found.sort(key=lambda each: _rank(each.state))
+        missing = count - len(found)
+        best = ranked[: max(0, count)] if missing > 0 else []
+        found += [each for each in best if each not in found][:missing]
+        return [each.peer for each in found]
+    rest = ranked[COLLECTORS:]
+    chosen = ranked[:COLLECTORS]
+    if rest:
+        chosen.append(rest[turn % len(rest)])
+    return [each.peer for each in chosen]
 
 
 def _rank(state: messages.MemberState) -> tuple[int, int, str]:
     node_id = state.peer.node_id
     return -state.capacity, fleet_members.hash_of(node_id), node_id
+
+
+_LAST_RANK = (1, 0, "")  # Capacities are not negative.
--- a/src/lovageyoke/fleet/members.py
+++ b/src/lovageyoke/fleet/members.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from lovageyoke.fleet import member as fleet_member
 from lovageyoke.fleet import messages
 
 LIVE_MS = 1_200.0  # Several heartbeats, to tolerate lost datagrams.
@@ -23,58 +24,8 @@
 FORGET_MS = 60_000.0  # Gone processes still receive heartbeats for this time.
 SENDING_MS = 12_000.0  # Slightly more than a window of the budget.
 VIEW_MS = 100.0  # How long a computed view of the fleet is cached.
-
-
-@attrs.define
-class Member:
-    """Another process.
-
-    Attributes:
-        state: Its newest known state.
-        known_ms: When it was first known, or known again after it was gone.
-        heard_ms: When its last heartbeat was received directly.
-        collector_heard_ms: When its last heartbeat as a collector was received.
-        alive_ms: When it was last known to be alive.
-        id_hash: Hash of its id, which ranks processes for duties.
-        waiting: Processes with queued requests, by service, from its last
-            heartbeat.
-    """
-
-    state: messages.MemberState
-    known_ms: float
-    heard_ms: float = -math.inf
-    collector_heard_ms: float = -math.inf
-    alive_ms: float = -math.inf
-    id_hash: int = 0
-    waiting: tuple[tuple[str, int], ...] = ()
-
-    @property
-    def peer(self) -> messages.Peer:
-        """How to reach it."""
-        return self.state.peer
-
-
-@attrs.frozen
-class View:
-    """A cached summary of the live processes.
-
-    Attributes:
-        live: The other processes that are alive.
-        working: Processes that share duties, this one included, by failure
-            domain.
-        size: Number of processes that may be sending requests now.
-        until_ms: When the view expires.
-    """
-
-    live: list[Member]
-    working: dict[str, list[messages.MemberState]]
-    size: int
-    until_ms: float
-
-    @property
-    def workers(self) -> int:
-        """How many processes share duties."""
-        return sum(len(each) for each in self.working.values())
+SETTLED_VIEW_MS = 1_000.0  # The same while all domains' collectors are heard.
+FORGET_COLLECTOR_MS = 4_000.0  # Exceeds the longest delay of a takeover.
 
 
 class Members:
@@ -83,6 +34,10 @@
     Attributes:
         own: This process's state as sent to others.
         others: The other processes by node id.
+        by_domain: The same by failure domain.
+        collectors: Processes recently heard as collectors, by node id.
+        last_heard_ms: When any heartbeat was last received.
+        last_known_ms: When a process last became known.
         collecting_since_ms: When this process became a collector; None if it
             isn't one.
         contact_ms: When a collector of each failure domain last sent a
@@ -91,16 +46,30 @@
             set was last cleared.
         changes: Counter of changes to the list or to a state.
         cached: The last computed view, None if it is outdated.
+        last_live: Processes that were alive in the last view, with the time
+            until which it held.
+        cached_known: The number of known processes, None if it is outdated.
+        ranked: Collector candidates by failure domain; see ``collectors``.
     """
 
     def __init__(self, own: messages.MemberState) -> None:
         self.own = own
-        self.others: dict[str, Member] = {}
+        self.others: dict[str, fleet_member.Member] = {}
+        self.by_domain: dict[str, dict[str, fleet_member.Member]] = {}
+        self.collectors: dict[str, fleet_member.Member] = {}
+        self.last_heard_ms = -math.inf
+        self.last_known_ms = -math.inf
         self.collecting_since_ms: float | None = None
         self.contact_ms: dict[str, float] = {}
         self.changed_ids: set[str] = set()
         self.changes = 0
-        self.cached: View | None = None
+        self.cached: fleet_member.View | None = None
+        self.last_live: tuple[list[fleet_member.Member], float] = (
+            [],
+            -math.inf,
+        )
+        self.cached_known: int | None = None
+        self.ranked: dict[str, list[fleet_member.Member]] = {}
 
     @property
     def domain(self) -> str:
@@ -117,19 +86,31 @@
         known = self.others.get(node_id)
         if known is None:
             id_hash = hash_of(node_id)
-            self.others[node_id] = Member(state, now_ms, id_hash=id_hash)
+            member = fleet_member.Member(state, now_ms, id_hash=id_hash)
+            self.others[node_id] = member
+            self.domain_of(state)[node_id] = member
+            self.last_known_ms = now_ms
             self.changed(node_id)
             return True
         if state.order <= known.state.order:
             return False
         same = state.says_the_same(known.state)
         if known.state.gone and not state.gone:
-            known.known_ms = now_ms
+            known.known_ms = self.last_known_ms = now_ms
+        if known.peer.failure_domain != state.peer.failure_domain:
+            del self.domain_of(known.state)[node_id]
+            self.domain_of(state)[node_id] = known
         known.state = state
         if not same:
             self.changed(node_id)
         return True
 
+    def domain_of(
+        self, state: messages.MemberState
+    ) -> dict[str, fleet_member.Member]:
+        """Returns the known processes of a process's failure domain."""
+        return self.by_domain.setdefault(state.peer.failure_domain, {})
+
     def apply_heartbeat(
         self, heartbeat: messages.Heartbeat, now_ms: float
     ) -> bool:
@@ -144,10 +125,11 @@
         member = self.others[node_id]
         if member.state.started_ms > state.started_ms or member.state.gone:
             return False
-        member.heard_ms = now_ms
+        member.heard_ms = self.last_heard_ms = now_ms
         member.waiting = heartbeat.waiting
         if heartbeat.collecting:
             member.collector_heard_ms = now_ms
+            self.collectors[node_id] = member
             self.record_contacts(heartbeat, now_ms)
         for each in heartbeat.members:
             if not self.merge(each, now_ms) and heartbeat.collecting:
@@ -190,7 +172,13 @@
         """Records that the state of a process has changed."""
         self.changes += 1
         self.changed_ids.add(node_id)
+        self.invalidate()
+
+    def invalidate(self) -> None:
+        """Discards what was computed from the states."""
         self.cached = None
+        self.cached_known = None
+        self.ranked.clear()
 
     def detect_failures(self, now_ms: float) -> None:
         """Marks silent processes of the own failure domain as gone.
@@ -201,8 +189,8 @@
         since_ms = self.collecting_since_ms
         if since_ms is None:
             return
-        for node_id, member in self.others.items():
-            if member.state.gone or member.peer.failure_domain != self.domain:
+        for node_id, member in self.by_domain.get(self.domain, {}).items():
+            if member.state.gone:
                 continue
             heard_ms = max(member.heard_ms, member.known_ms, since_ms)
             if now_ms - heard_ms > LIVE_MS:
@@ -211,18 +199,24 @@
 
     def forget_gone(self, now_ms: float) -> None:
         """Removes processes that have been gone for ``FORGET_MS``."""
+        self.collectors = {
+            node_id: each
+            for node_id, each in self.collectors.items()
+            if now_ms - each.collector_heard_ms <= FORGET_COLLECTOR_MS
+        }
         for node_id, member in list(self.others.items()):
             last_ms = max(member.alive_ms, member.known_ms)
             if now_ms - last_ms > FORGET_MS and not self.is_live(
                 member, now_ms
             ):
                 del self.others[node_id]
+                del self.domain_of(member.state)[node_id]
                 self.changes += 1
-                self.cached = None
+                self.invalidate()
 
     # Queries
 
-    def is_live(self, member: Member, now_ms: float) -> bool:
+    def is_live(self, member: fleet_member.Member, now_ms: float) -> bool:
         """Returns whether a process is considered alive."""
         if member.state.gone:
             return False
@@ -234,14 +228,25 @@
         contact_ms = self.contact_ms.get(domain, -math.inf)
         return now_ms - contact_ms <= DOMAIN_SILENT_MS
 
-    def view(self, now_ms: float) -> View:
-        """Returns the fleet, cached for up to ``VIEW_MS``."""
-        if self.cached is None or now_ms >= self.cached.until_ms:
-            self.cached = self.compute_view(now_ms)
-        return self.cached
-
-    def compute_view(self, now_ms: float) -> View:
+    def view(self, now_ms: float) -> fleet_member.View:
+        """Returns the fleet, cached for up to ``SETTLED_VIEW_MS``."""
+        view = self.cached
+        if (
+            view is None
+            or now_ms >= view.until_ms
+            or view.own.leaving != self.own.leaving
+            or view.own.capacity != self.own.capacity
+        ):
+            view = self.cached = self.compute_view(now_ms)
+            self.last_live = view.live, view.until_ms
+        return view
+
+    def compute_view(self, now_ms: float) -> fleet_member.View:
         """Computes the current view of the fleet."""
+        before, before_until_ms = self.last_live
+        alive_ms = min(now_ms, before_until_ms)
+        for member in before:
+            member.alive_ms = max(member.alive_ms, alive_ms)
         live = []
         size = 1
         working: dict[str, list[messages.MemberState]] = {}
@@ -256,15 +261,31 @@
                     working.setdefault(domain, []).append(member.state)
             if now_ms - member.alive_ms < SENDING_MS:
                 size += 1
-        return View(live, working, size, now_ms + VIEW_MS)
+        until_ms = now_ms + self.view_valid_ms(now_ms)
+        return fleet_member.View(self.own, live, working, size, until_ms)
+
+    def view_valid_ms(self, now_ms: float) -> float:
+        """Returns for how long a view holds unless a state changes."""
+        valid_ms = SETTLED_VIEW_MS
+        for domain, members in self.by_domain.items():
+            collects = self.collecting_since_ms is not None
+            if not members or (collects and domain == self.domain):
+                continue
+            contact_ms = self.contact_ms.get(domain, -math.inf)
+            valid_ms = min(valid_ms, contact_ms + DOMAIN_SILENT_MS - now_ms)
+        return max(VIEW_MS, valid_ms)
 
-    def live(self, now_ms: float) -> list[Member]:
+    def live(self, now_ms: float) -> list[fleet_member.Member]:
         """Returns the other processes that are alive."""
         return self.view(now_ms).live
 
     def known(self) -> int:
         """Returns how many processes are known and not gone."""
-        return 1 + sum(not each.state.gone for each in self.others.values())
+        if self.cached_known is None:
+            self.cached_known = 1 + sum(
+                not each.state.gone for each in self.others.values()
+            )
+        return self.cached_known
 
     def duty_states(
         self, failure_domain: str, now_ms: float
@@ -343,13 +364,9 @@
         """Returns how many processes may be sending requests now."""
         return self.view(now_ms).size
 
-    def of_domain(self, domain: str) -> Iterable[Member]:
+    def of_domain(self, domain: str) -> Iterable[fleet_member.Member]:
         """Returns the other processes of a failure domain."""
-        return (
-            each
-            for each in self.others.values()
-            if each.peer.failure_domain == domain
-        )
+        return self.by_domain.get(domain, {}).values()
 
 
 def _duty_rank(key: str, state: messages.MemberState) -> tuple[int, str]:
--- a/src/lovageyoke/fleet/queue_counts.py
+++ b/src/lovageyoke/fleet/queue_counts.py
@@ -4,6 +4,7 @@
 
 import collections
 
+from lovageyoke.fleet import member as fleet_member
 from lovageyoke.fleet import members as fleet_members
 
 Counts = tuple[tuple[str, int], ...]
@@ -21,7 +22,11 @@
     """
     total = collections.Counter(dict(own))
     for member in members.of_domain(members.domain):
-        if _is_fresh(member.heard_ms, now_ms) and not _collects(member, now_ms):
+        if (
+            member.waiting
+            and _is_fresh(member.heard_ms, now_ms)
+            and not _collects(member, now_ms)
+        ):
             total.update(dict(member.waiting))
     return tuple(total.items())
 
@@ -39,8 +44,8 @@
     if members.collecting_since_ms is None:
         return _from_collector(members, own)
     total = collections.Counter(dict(of_domain(members, own, now_ms)))
-    newest: dict[str, fleet_members.Member] = {}
-    for member in members.others.values():
+    newest: dict[str, fleet_member.Member] = {}
+    for member in members.collectors.values():
         domain = member.peer.failure_domain
         if domain == members.domain or not _collects(member, now_ms):
             continue
@@ -56,7 +61,11 @@
 
 
 def _from_collector(members: fleet_members.Members, own: Counts) -> Counts:
-    collectors = list(members.of_domain(members.domain))
+    collectors = [
+        each
+        for each in members.collectors.values()
+        if each.peer.failure_domain == members.domain
+    ]
     if not collectors:
         return own
     newest = max(collectors, key=lambda each: each.collector_heard_ms)
@@ -66,7 +75,7 @@
     return tuple(counts.items())
 
 
-def _collects(member: fleet_members.Member, now_ms: float) -> bool:
+def _collects(member: fleet_member.Member, now_ms: float) -> bool:
     return _is_fresh(member.collector_heard_ms, now_ms)
 
 
--- a/src/lovageyoke/fleet/state_updates.py
+++ b/src/lovageyoke/fleet/state_updates.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from lovageyoke.fleet import member as fleet_member
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
 from lovageyoke.fleet import transmissions
@@ -64,7 +65,7 @@
         """Queues the states of all processes."""
         self.queue(set(self.members.others))
 
-    def includes(self, member: fleet_members.Member) -> bool:
+    def includes(self, member: fleet_member.Member) -> bool:
         """Returns whether a process's state is sent to these recipients."""
         domain = member.peer.failure_domain
         return not self.own_domain_only or domain == self.members.domain
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import heapq
 import itertools
+import math
 import os
 import random
 
@@ -25,6 +26,7 @@
 from lovageyoke.node import state as node_state
 from lovageyoke.observe import events
 from lovageyoke.platform import headers
+from lovageyoke.routing import load_view
 from lovageyoke.routing import model
 from lovageyoke.store import revisions
 
@@ -122,10 +124,9 @@
         # Restarts within one millisecond must differ in start time.
         self.messenger.started_ms = int(clock.now_ms()) + self.incarnation
         self.messenger.link.transport = Transport(self.send)  # type: ignore[assignment]
-        start_delay_ms = self.fleet.rng.uniform(0.0, 300.0)
-        self.fleet.schedule(
-            start_delay_ms, self.heartbeat_task(self.incarnation)
-        )
+        self.wake_ms = math.inf
+        self.urgent_from_ms = math.inf
+        self.wake_at(clock.now_ms() + self.fleet.rng.uniform(0.0, 300.0))
 
     def on_new_configuration(self, configuration: model.Configuration) -> None:
         self.versions.append(configuration.version)
@@ -143,22 +144,65 @@
     def ask(self, request: messages.SnapshotRequest) -> bool:
         return self.messenger.request_snapshot(request)
 
-    def heartbeat_task(self, incarnation: int) -> Callable[[], None]:
-        def heartbeat() -> None:
-            if not self.is_running or self.incarnation != incarnation:
-                return
-            if not self.paused:
-                self.replica.expire_retained(self.fleet.clock.now_ms())
-                self.request_missing_changes()
-                self.node.heartbeat_requested.clear()
-                self.messenger.send_heartbeats()
-                self.revisions.append(self.replica.revision)
-            share = 1.0
-            if self.node.members.collecting_since_ms is not None:
-                share = node_messenger.COLLECTOR_SHARE
-            self.fleet.schedule(self.fleet.period_ms * share, heartbeat)
-
-        return heartbeat
+    def wake_at(self, due_ms: float) -> None:
+        """Schedules the next heartbeat, if it isn't due earlier."""
+        if due_ms >= self.wake_ms:
+            return
+        self.wake_ms = due_ms
+        incarnation = self.incarnation
+
+        def wake() -> None:
+            if self.incarnation == incarnation and self.wake_ms == due_ms:
+                self.wake_ms = math.inf
+                self.send_heartbeat()
+
+        self.fleet.schedule(due_ms - self.fleet.clock.now_ms(), wake)
+
+    def send_heartbeat(self) -> None:
+        """Sends a heartbeat and schedules the next as the messenger does."""
+        if not self.is_running:
+            return
+        now_ms = self.fleet.clock.now_ms()
+        period_ms = self.fleet.period_ms
+        gap_ms = max(
+            node_messenger.MIN_HEARTBEAT_GAP_MS,
+            node_messenger.URGENT_SHARE * period_ms,
+        )
+        if not self.paused:
+            self.replica.expire_retained(now_ms)
+            self.request_missing_changes()
+            self.node.heartbeat_requested.clear()
+            self.messenger.send_heartbeats()
+            self.revisions.append(self.replica.revision)
+        self.urgent_from_ms = now_ms + gap_ms
+        share = 1.0
+        if self.node.members.collecting_since_ms is not None:
+            share = node_messenger.COLLECTOR_SHARE
+        self.wake_at(now_ms + max(gap_ms, share * period_ms))
+
+    def send_if_requested(self) -> None:
+        """Schedules an urgent heartbeat, not before the minimum gap."""
+        if self.node.heartbeat_requested.is_set():
+            now_ms = self.fleet.clock.now_ms()
+            self.wake_at(max(now_ms, self.urgent_from_ms))
+
+    def observe(
+        self, upstream_id: str, report: load_view.LoadReport, urgent: bool
+    ) -> None:
+        """Records an upstream's report, as of a check or of a response.
+
+        Args:
+            upstream_id: The upstream.
+            report: The report.
+            urgent: Whether it came with a response, which frees a slot.
+        """
+        view = self.node.loads.by_id.get(upstream_id)
+        if view is None or not self.is_running:
+            return
+        self.node.reports.record_report(view, report, self.fleet.clock.now_ms())
+        if urgent:
+            self.node.heartbeat_requested.set()
+        self.send_if_requested()
 
     def request_missing_changes(self) -> None:
         now_ms = self.fleet.clock.now_ms()
@@ -173,10 +217,7 @@
         if not self.is_running or self.paused:
             return
         self.messenger.link.datagram_received(data, sender)
-        if self.node.heartbeat_requested.is_set():
-            # The real process wakes up immediately on urgent news.
-            self.node.heartbeat_requested.clear()
-            self.messenger.send_heartbeats()
+        self.send_if_requested()
 
     def stop(self) -> None:
         self.is_running = False
