Check a peer once and decode load reports without objects of their own

A process of a large deployment receives over 6,000 load reports a second and 300 member states in 100 heartbeats. Reports are now tuples made from the packed bytes, equal loads share one object, a peer that is named again is not checked again, and comparing two states copies neither.

--- a/src/lovageyoke/fleet/codec.py
+++ b/src/lovageyoke/fleet/codec.py
@@ -99,9 +99,7 @@
         since_revision=decoding.integer(raw[5]),
         fresh_age_ms=_age(raw[6]),
         changes=tuple(_change(each) for each in raw[7]),
-        reports=tuple(
-            messages.Report(*each) for each in _REPORT.iter_unpack(raw[8])
-        ),
+        reports=tuple(map(messages.Report._make, _REPORT.iter_unpack(raw[8]))),
         waiting=tuple(
             (_text(name), decoding.integer(count, 0, _MAX_COUNT))
             for name, count in raw[9]
@@ -183,9 +181,7 @@
     node_id, host, port, front, domain, started, sequence, flags, capacity = raw
     decoding.integer(flags, 0, _MAX_FLAGS)
     return messages.MemberState(
-        message_checks.check_peer(
-            messages.Peer(node_id, host, port, front, domain)
-        ),
+        message_checks.known_peer(node_id, host, port, front, domain),
         decoding.integer(started),
         decoding.integer(sequence),
         bool(flags & 1),
@@ -197,6 +193,13 @@
 
 
 def _report_bytes(report: messages.Report) -> bytes:
+    try:
+        return _REPORT.pack(*report)
+    except struct.error:
+        return _report_bytes_in_range(report)
+
+
+def _report_bytes_in_range(report: messages.Report) -> bytes:
     return _REPORT.pack(
         report.number,
         min(report.running, _BYTE),
--- a/src/lovageyoke/fleet/messages.py
+++ b/src/lovageyoke/fleet/messages.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import attrs
 
 
@@ -59,13 +61,22 @@
 
     def says_the_same(self, other: MemberState) -> bool:
         """Returns whether two states differ at most in their sequence."""
-        return attrs.evolve(self, sequence=other.sequence) == other
-
-
-@attrs.frozen
-class Report:
+        return (
+            self.started_ms == other.started_ms
+            and self.ready == other.ready
+            and self.leaving == other.leaving
+            and self.store_ok == other.store_ok
+            and self.capacity == other.capacity
+            and self.gone == other.gone
+            and (self.peer is other.peer or self.peer == other.peer)
+        )
+
+
+class Report(NamedTuple):
     """An upstream's load as observed by a process.
 
+    A tuple, as a process receives thousands of them each second.
+
     Attributes:
         number: The upstream's number, see ``load_view.short_id``.
         running: Requests in progress.
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -353,7 +353,6 @@
             self.node.heartbeat_requested.set()
         sender = message.sender.peer
         is_local = sender.failure_domain == members.domain
-        for report in message.reports:
-            self.node.reports.record_peer_report(report, now_ms, is_local)
+        self.node.reports.record_peer_reports(message.reports, now_ms, is_local)
         for limit in message.rate_limits:
             self.node.rate_limiter.record_peer_report(limit, now_ms, is_local)
--- a/src/lovageyoke/node/report_exchange.py
+++ b/src/lovageyoke/node/report_exchange.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
+import functools
 
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
@@ -17,6 +19,7 @@
 ECHO_TOLERANCE_MS = 5.0
 MAX_REPORTED_FAILURES = 8  # Failures of an upstream counted per message.
 MIN_PACE = 0.01
+MAX_CACHED_LOADS = 1_024  # Upstreams with few slots report few different loads.
 
 RequestHeartbeat = Callable[[bool], None]
 
@@ -118,27 +121,44 @@
     def record_peer_report(
         self, report: messages.Report, now_ms: float, is_local: bool
     ) -> None:
-        """Records a report received from a peer.
+        """Records a report received from a peer."""
+        self.record_peer_reports((report,), now_ms, is_local)
+
+    def record_peer_reports(
+        self,
+        reports: Iterable[messages.Report],
+        now_ms: float,
+        is_local: bool,
+    ) -> None:
+        """Records the reports in a peer's message.
 
         Args:
-            report: The report.
+            reports: The reports.
             now_ms: The time.
             is_local: Whether the peer is in this failure domain.
         """
-        view = self.loads.by_short_id.get(report.number)
-        if view is None:
-            return
         collecting = self.members.collecting_since_ms is not None
-        self.record_peer_failures(view, report, now_ms, is_local)
-        made_ms = now_ms - report.age_ms
-        if report.slots == 0 or made_ms <= view.reported_ms + ECHO_TOLERANCE_MS:
-            return
-        pace = report.pace_percent / 100.0 if report.pace_percent else None
-        load = load_view.LoadReport(
-            report.running, report.waiting, report.slots, pace
-        )
-        if self.loads.apply_report(view, load, made_ms) and collecting:
-            self.queue_report(view, is_local)
+        loads = self.loads
+        views = loads.by_short_id
+        for report in reports:
+            view = views.get(report.number)
+            if view is None:
+                continue
+            if report.failures:
+                self.record_peer_failures(view, report, now_ms, is_local)
+            made_ms = now_ms - report.age_ms
+            if made_ms <= view.reported_ms + ECHO_TOLERANCE_MS:
+                continue
+            if report.slots == 0:
+                continue
+            load = _load_of(
+                report.running,
+                report.waiting,
+                report.slots,
+                report.pace_percent,
+            )
+            if loads.apply_report(view, load, made_ms) and collecting:
+                self.queue_report(view, is_local)
 
     def record_peer_failures(
         self,
@@ -153,8 +173,6 @@
         counted.
         """
         failures = min(report.failures, MAX_REPORTED_FAILURES)
-        if not failures:
-            return
         own = min(self.own_reported_failures.get(report.number, 0), failures)
         if own:
             self.own_reported_failures[report.number] -= own
@@ -164,3 +182,11 @@
             self.unsent_reports.add_failures(view, failures)
             if is_local:
                 self.unsent_remote_reports.add_failures(view, failures)
+
+
+@functools.lru_cache(MAX_CACHED_LOADS)
+def _load_of(
+    running: int, waiting: int, slots: int, pace_percent: int
+) -> load_view.LoadReport:
+    pace = pace_percent / 100.0 if pace_percent else None
+    return load_view.LoadReport(running, waiting, slots, pace)
