Send fewer heartbeats, member states and messages to seeds

A collector sent to each process of its domain every quarter of the period though nothing was urgent, three unchanged states in each, and every process sent to all seeds five times a second for three seconds though it had a collector. A collector now sends every half of the period, urgent news at least 15 ms apart, unchanged states in every second message; seeds get messages until a collector was heard. Up to 100 load reports go into a message between domains: with 40 the reports of 78 processes queued.

--- a/src/lovageyoke/fleet/collectors.py
+++ b/src/lovageyoke/fleet/collectors.py
@@ -111,6 +111,14 @@
     return now_ms - newest_ms > ISOLATED_MS
 
 
+def has_collector(members: fleet_members.Members, now_ms: float) -> bool:
+    """Returns whether another process collects for this failure domain."""
+    return any(
+        now_ms - each.collector_heard_ms <= SILENT_MS
+        for each in _recent_collectors(members, members.domain)
+    )
+
+
 def local_targets(
     members: fleet_members.Members, turn: int, now_ms: float
 ) -> list[messages.Peer]:
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -20,12 +20,15 @@
 from lovageyoke.node import introductions
 from lovageyoke.node import state as node_state
 
-MIN_HEARTBEAT_GAP_MS = 10.0  # Also holds for urgent heartbeats.
+# Also holds for urgent heartbeats. 10 ms made load reports 4 ms newer on
+# average, at half again as many messages of a collector.
+MIN_HEARTBEAT_GAP_MS = 15.0
 # Heartbeat intervals as shares of the heartbeat period.
 URGENT_SHARE = 0.25
-COLLECTOR_SHARE = 0.25
+COLLECTOR_SHARE = 0.5
 REMOTE_SHARE = 0.5  # To other failure domains.
-MAX_REMOTE_REPORTS = 40  # Load reports per message to other failure domains.
+MAX_REMOTE_REPORTS = 100  # Load reports per message to other failure domains.
+ROUND_ROBIN_EVERY = 2  # Heartbeats per one that repeats unchanged states.
 SEED_JOIN_INTERVAL_MS = 200.0
 SEED_COLLECTOR_INTERVAL_MS = 2_000.0  # Reconnects the fleet after a partition.
 # A process whose event loop lags more than this announces no capacity, which
@@ -196,7 +199,9 @@
             waiting=queue_counts.of_fleet(members, own, now_ms)
             if collecting
             else own,
-            members=self.local_states.next_states(round_robin=True)
+            members=self.local_states.next_states(
+                self.heartbeat_count % ROUND_ROBIN_EVERY == 0
+            )
             if collecting
             else (),
             domains=tuple(
@@ -219,7 +224,9 @@
                 now_ms, is_remote=True
             ),
             waiting=queue_counts.of_domain(self.node.members, own, now_ms),
-            members=self.remote_states.next_states(round_robin=True),
+            members=self.remote_states.next_states(
+                self.remote_heartbeat_count % ROUND_ROBIN_EVERY == 0
+            ),
         )
 
     def heartbeat(self, now_ms: float) -> messages.Heartbeat:
@@ -241,9 +248,12 @@
     def is_seed_heartbeat_due(self, now_ms: float) -> bool:
         """Returns whether a heartbeat to the seeds is due."""
         since_ms = now_ms - self.seeds_sent_ms
-        if now_ms - self.clock_started_ms < introductions.JOINING_MS:
-            return since_ms >= SEED_JOIN_INTERVAL_MS
         members = self.node.members
+        if (
+            now_ms - self.clock_started_ms < introductions.JOINING_MS
+            and not collectors.has_collector(members, now_ms)
+        ):
+            return since_ms >= SEED_JOIN_INTERVAL_MS
         if members.collecting_since_ms is None and members.live(now_ms):
             return False
         return since_ms >= SEED_COLLECTOR_INTERVAL_MS
