Divide free capacity by the urgency of all queued requests

The chance of taking free capacity counted only the share of upstreams that were free as competition. Now every process that uses the same upstreams competes. Heartbeats state the queued requests by urgency under further keys of the existing counts, so more urgent requests of any process have the first claim and others keep a part of their proportional share.

Upstreams of two slots were used for one request whenever the estimated contention exceeded 1.25, which halves their capacity. The estimate rises from outdated slowdowns alone; below 1.6 both slots are used now.

An account at 7.5 times its rate is not yet held back beyond one process. Tests of limits/, node/, routing/, fleet/ and platform/ pass.

--- a/src/lovageyoke/limits/admission_queue.py
+++ b/src/lovageyoke/limits/admission_queue.py
@@ -17,6 +17,7 @@
 import attrs
 
 from lovageyoke.limits import served_shares
+from lovageyoke.limits import shared_capacity
 from lovageyoke.routing import load_view
 
 MAX_WAIT_SHARE = 0.5  # Of the time to the deadline; allows a retry.
@@ -160,11 +161,13 @@
         """Returns whether any waiting request can meet its target."""
         return any(not each.is_late(now_ms) for each in self.queued)
 
-    def most_urgent(self, now_ms: float) -> tuple[bool, int] | None:
-        """Returns lateness and priority of the most urgent waiting request."""
-        return min(
-            ((each.is_late(now_ms), each.priority) for each in self.queued),
-            default=None,
+    def by_urgency(
+        self, now_ms: float
+    ) -> collections.Counter[shared_capacity.Urgency]:
+        """Returns the number of waiting requests by urgency."""
+        return collections.Counter(
+            shared_capacity.urgency(each.is_late(now_ms), each.priority)
+            for each in self.queued
         )
 
     def record_turned_away(self, priority: int) -> None:
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -186,7 +186,7 @@
         """Returns the heartbeat for the own failure domain."""
         members = self.node.members
         collecting = members.collecting_since_ms is not None
-        own = self.node.waiting_counts()
+        own = self.node.waiting_counts(now_ms)
         return attrs.evolve(
             self.heartbeat(now_ms),
             reports=self.node.reports.reports_to_send(now_ms),
@@ -209,7 +209,7 @@
 
     def remote_heartbeat(self, now_ms: float) -> messages.Heartbeat:
         """Returns a collector's heartbeat for the other failure domains."""
-        own = self.node.waiting_counts()
+        own = self.node.waiting_counts(now_ms)
         return attrs.evolve(
             self.heartbeat(now_ms),
             reports=self.node.reports.remote_reports_to_send(
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -11,6 +11,7 @@
 from lovageyoke.fleet import queue_counts
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.limits import admission_queue as limits_queue
+from lovageyoke.limits import shared_capacity
 from lovageyoke.limits import shutdown
 from lovageyoke.node import rate_limiter
 from lovageyoke.node import report_exchange
@@ -213,12 +214,20 @@
         """Returns the total number of upstreams of a service."""
         return len(self.loads.of_service(service))
 
-    def processes_waiting(self, service: str, now_ms: float) -> int:
-        """Returns the number of processes with queued requests of a service."""
+    def fleet_waiting(
+        self, service: str, own: shared_capacity.Urgency, now_ms: float
+    ) -> shared_capacity.Waiting:
+        """Returns what is known of a service's queued requests in the fleet.
+
+        Args:
+            service: The service.
+            own: Urgency of the request that the others are compared with.
+            now_ms: The time.
+        """
         counts = queue_counts.of_fleet(
-            self.members, self.waiting_counts(), now_ms
+            self.members, self.waiting_counts(now_ms), now_ms
         )
-        return max(1, dict(counts).get(service, 0))
+        return shared_capacity.Waiting.from_counts(counts, service, own)
 
     def requests_per_s(self, service: str, now_ms: float) -> float:
         """Returns the estimated request rate of a service in the fleet."""
@@ -253,16 +262,20 @@
             self.queues[service] = queue
         return queue
 
-    def waiting_counts(self) -> tuple[tuple[str, int], ...]:
+    def waiting_counts(self, now_ms: float) -> tuple[tuple[str, int], ...]:
         """Returns the services with queued requests, each with the count 1.
 
-        The count stands for this process; collectors add up the counts.
+        The count stands for this process; collectors add up the counts. The
+        numbers of queued requests by urgency follow, each under its own key.
         """
-        return tuple(
-            (service, 1)
-            for service, queue in self.queues.items()
-            if queue.queued
-        )
+        counts = []
+        for service, queue in self.queues.items():
+            if not queue.queued:
+                continue
+            counts.append((service, 1))
+            for urgency, count in queue.by_urgency(now_ms).items():
+                counts.append((urgency.key(service), count))
+        return tuple(counts)
 
     def offer_slot(self, service: str, view: load_view.UpstreamView) -> None:
         """Offers the slot of a finished request to the next queued one."""
--- a/src/lovageyoke/node/upstream_selector.py
+++ b/src/lovageyoke/node/upstream_selector.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 import math
 
+from lovageyoke.limits import shared_capacity
 from lovageyoke.node import state as node_state
 from lovageyoke.routing import load_view
 from lovageyoke.routing import model
@@ -155,25 +156,47 @@
     ) -> bool:
         """Returns whether to take capacity that is visible to all processes.
 
-        The probability is the free capacity divided by the number of
-        requests expected to compete for it.
+        The probability is the free capacity that more urgent requests leave,
+        divided by the number of requests expected to compete for it.
 
         Args:
             choices: The upstreams with capacity.
             was_queued: Whether the request has been queued.
         """
+        if not choices:
+            return False
         node = self.node
         now_ms = node.clock.now_ms()
         free = sum(each.free for each in choices)
         report_age_ms = REPORT_AGE_SHARE * node.period_ms
-        if was_queued:
-            competitors = float(node.processes_waiting(self.service, now_ms))
-            competitors *= report_age_ms / node_state.ADMIT_INTERVAL_MS
-        else:
+        tries = report_age_ms / node_state.ADMIT_INTERVAL_MS
+        waiting = self.fleet_waiting(now_ms)
+        # Another process competes for the upstreams that both use.
+        seen = self.seen_share()
+        level_tries = seen * tries * waiting.level
+        all_tries = seen * tries * waiting.total
+        if not was_queued:
             requests_per_s = node.requests_per_s(self.service, now_ms)
-            competitors = requests_per_s / MS_PER_SECOND * report_age_ms
-        competitors *= len(choices) / max(1, node.upstream_count(self.service))
-        return node.rng.random() * competitors < free
+            arrivals = seen * requests_per_s / MS_PER_SECOND * report_age_ms
+            level_tries += arrivals
+            all_tries += arrivals
+        return node.rng.random() < shared_capacity.probability(
+            free, seen * waiting.ahead, level_tries, all_tries
+        )
+
+    def fleet_waiting(self, now_ms: float) -> shared_capacity.Waiting:
+        """Returns what is known of the service's queued requests."""
+        own = shared_capacity.urgency(self.is_late(), self.route.priority)
+        return self.node.fleet_waiting(self.service, own, now_ms)
+
+    def seen_share(self) -> float:
+        """Returns the share of the service's upstreams in this process's use.
+
+        About as many of the upstreams that it uses are used by any other
+        process.
+        """
+        total = max(1, self.node.upstream_count(self.service))
+        return min(1.0, len(self.views()) / total)
 
     def select_other(
         self, tried: Collection[tuple[str, int]]
--- a/src/lovageyoke/routing/placement.py
+++ b/src/lovageyoke/routing/placement.py
@@ -96,12 +96,17 @@
     """Returns the concurrency up to which an upstream works efficiently.
 
     Above ``CONTENTION_THRESHOLD`` an upstream subject to contention gains
-    hardly any throughput, while the latency of each request grows.
+    hardly any throughput, while the latency of each request grows. With few
+    slots, rounding down may cost more throughput than contention: one request
+    at an upstream of two slots is served at half its capacity.
     """
     slots = view.slots()
     if work.contention < NEGLIGIBLE_CONTENTION:
         return slots
-    return max(1, math.floor(CONTENTION_THRESHOLD * slots))
+    efficient = max(1, math.floor(CONTENTION_THRESHOLD * slots))
+    if efficient * work.contention < CONTENTION_THRESHOLD * slots:
+        return slots
+    return efficient
 
 
 def free_capacity(view: load_view.UpstreamView, work: WorkEstimate) -> float:
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -96,6 +96,16 @@
     )
 
 
+def test_contention_leaves_both_slots_of_a_small_upstream_in_use() -> None:
+    """Guards against a capacity halved by rounding down to one request."""
+    small = load_view.UpstreamView(
+        model.Upstream("u", 1, "maps", "10.0.0.1", 80, "a", 2), added_ms=0.0
+    )
+    mild = placement.WorkEstimate(100.0, 1.0, contention=1.4)
+    assert_that(placement.capacity(small, mild), matchers.Equals(2))
+    assert_that(placement.capacity(small, WORK), matchers.Equals(1))
+
+
 def test_free_capacity_filter_needs_room_and_a_timely_response() -> None:
     choices = evaluate(
         [view("full", running=6), view("slow", slowdown=7.0), view("good")]
