Keep accounts within their quotas over the whole fleet

An account has a rate and a burst over all processes, while most processes see less than one of its requests a second, so neither a fixed share nor the senders of an upstream's rate limit would serve it. Collectors now keep a token bucket per account from cumulative counts in the heartbeats and tell their failure domain which quotas are scarce. In overload a process admits the share of the requests that uses the tokens within a multiple of the counts' delay; admitting until the tokens are gone let a sudden load overshoot by the load times the delay. Groups that don't hear the others use their part of rate and tokens, as do processes that hear no collector.

--- a/src/lovageyoke/errors/kinds.py
+++ b/src/lovageyoke/errors/kinds.py
@@ -15,6 +15,7 @@
     NOT_CONFIGURED = "not-configured"
     UNKNOWN_SERVICE = "unknown-service"
     UNKNOWN_ACCOUNT = "unknown-account"
+    QUOTA_USED_UP = "quota-used-up"
     IDENTITY_MISSING = "identity-missing"
     IDENTITY_REUSED = "identity-reused"
     DUPLICATE_IN_PROGRESS = "duplicate-in-progress"
--- a/src/lovageyoke/errors/table.py
+++ b/src/lovageyoke/errors/table.py
@@ -77,6 +77,9 @@
     ),
     Kind.UNKNOWN_SERVICE: _not_run(404, "No service matches the request"),
     Kind.UNKNOWN_ACCOUNT: _not_run(401, "A valid API key is needed"),
+    Kind.QUOTA_USED_UP: _not_run(
+        429, "The account's quota is used up", Retry.NEVER, RETRY_AFTER_S
+    ),
     Kind.IDENTITY_MISSING: _not_run(
         400, "The request needs an idempotency identity"
     ),
--- a/src/lovageyoke/explain/timeline.py
+++ b/src/lovageyoke/explain/timeline.py
@@ -14,6 +14,7 @@
 import attrs
 
 STATE_EVENTS = ("configuration", "upstreams", "store-lost", "store-regained")
+ACCOUNT_EVENTS = ("quota-limited", "quota-limiting-ended")
 UPSTREAM_EVENTS = ("upstream-health", "upstream-silent", "rate-limit")
 
 
@@ -90,6 +91,9 @@
         if other.kind in STATE_EVENTS:
             kind = "store" if other.kind.startswith("store") else other.kind
             latest[kind] = other
+        elif other.kind in ACCOUNT_EVENTS:
+            if other.fields.get("account") == event.fields.get("account"):
+                latest["quota"] = other
         elif other.kind in UPSTREAM_EVENTS and upstream in steps:
             latest[other.kind + upstream] = other
     ordered = sorted(latest.values(), key=lambda each: each.wall_ms)
--- a/src/lovageyoke/fleet/codec.py
+++ b/src/lovageyoke/fleet/codec.py
@@ -19,11 +19,15 @@
 _MAX_COUNT = 2**31  # Of processes or requests.
 _MAX_CAPACITY = 1_000_000  # In percent of a core.
 _MAX_FLAGS = 15
+_LEVELS = 14  # Position in a heartbeat; absent from earlier versions.
 _SNAPSHOT_PART_FIELDS = 6  # Without those added later.
 _BYTE = 255
 _SHORT = 65_535
 # The fields of ``messages.Report`` in their order.
 _REPORT = struct.Struct(">IBBBHHB")
+# The fields of ``messages.QuotaCount`` and ``messages.QuotaLevel``.
+_QUOTA_COUNT = struct.Struct(">III")
+_QUOTA_LEVEL = struct.Struct(">Iff")
 
 
 def encode(message: messages.Message) -> bytes:
@@ -86,6 +90,16 @@
         [_state_fields(each) for each in message.members],
         [list(each) for each in message.domains],
         [list(attrs.astuple(each)) for each in message.rate_limits],
+        b"".join(
+            _QUOTA_COUNT.pack(each.account, each.admitted, each.offered)
+            for each in message.quota_counts
+        ),
+        None
+        if message.quota_levels is None
+        else b"".join(
+            _QUOTA_LEVEL.pack(each.account, each.tokens, each.demand_per_s)
+            for each in message.quota_levels
+        ),
     ]
 
 
@@ -112,6 +126,14 @@
         rate_limits=tuple(
             _rate_limit(each) for part in raw[12:13] for each in part
         ),
+        quota_counts=tuple(
+            messages.QuotaCount(*each)
+            for part in raw[13:14]
+            for each in _QUOTA_COUNT.iter_unpack(part)
+        ),
+        quota_levels=_quota_levels(raw[_LEVELS])
+        if len(raw) > _LEVELS
+        else None,
     )
 
 
@@ -219,6 +241,16 @@
     )
 
 
+def _quota_levels(raw: object) -> tuple[messages.QuotaLevel, ...] | None:
+    if raw is None:
+        return None
+    unpacked = list(_QUOTA_LEVEL.iter_unpack(_raw(raw)))
+    for _, tokens, demand_per_s in unpacked:
+        if not (math.isfinite(tokens) and 0.0 <= demand_per_s < math.inf):
+            raise ValueError("quota out of range")
+    return tuple(messages.QuotaLevel(*each) for each in unpacked)
+
+
 def _change(raw: list[Any]) -> messages.EntryChange:
     key, revision, value = raw
     if value is not None:
--- a/src/lovageyoke/fleet/messages.py
+++ b/src/lovageyoke/fleet/messages.py
@@ -103,6 +103,36 @@
     age_ms: int
 
 
+@attrs.frozen
+class QuotaCount:
+    """Requests of a client account since the sender's start, modulo 2**32.
+
+    Attributes:
+        account: The account's number, see ``members.hash_of``.
+        admitted: Requests admitted, less those refunded.
+        offered: Requests received.
+    """
+
+    account: int
+    admitted: int
+    offered: int
+
+
+@attrs.frozen
+class QuotaLevel:
+    """State of a client account's quota in the fleet.
+
+    Attributes:
+        account: The account's number, see ``members.hash_of``.
+        tokens: Tokens left, negative after too many admissions.
+        demand_per_s: Requests per second, admitted or not.
+    """
+
+    account: int
+    tokens: float
+    demand_per_s: float
+
+
 @attrs.frozen
 class EntryChange:
     """A change of an entry in the store.
@@ -139,6 +169,11 @@
         domains: Time since the last collector heartbeat from each failure
             domain, in milliseconds.
         rate_limits: Rate limits that upstreams have stated.
+        quota_counts: Counts of client accounts that have changed: the
+            sender's own, or those of its failure domain if it collects and
+            the receiver is in another one.
+        quota_levels: A collector's quotas that are nearly used up, for its
+            failure domain; None if the message doesn't state them.
     """
 
     sender: MemberState
@@ -154,6 +189,8 @@
     members: tuple[MemberState, ...] = ()
     domains: tuple[tuple[str, int], ...] = ()
     rate_limits: tuple[RateLimitReport, ...] = ()
+    quota_counts: tuple[QuotaCount, ...] = ()
+    quota_levels: tuple[QuotaLevel, ...] | None = None
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/lovageyoke/limits/account_use.py
@@ -0,0 +1,133 @@
+"""What one process knows of the use of a client account's quota."""
+
+from __future__ import annotations
+
+import collections
+import enum
+import math
+
+import attrs
+
+from lovageyoke.limits import quota as limits_quota
+
+# Part of the depth above which a quota isn't told; it is then taken for the
+# number of tokens.
+UNTOLD_PART = 0.5
+# While no collector tells them more, all processes add the same tokens and use
+# the same ones. They add none after this time, and assume that those left are
+# being used by the others.
+MAX_REFILL_MS = 60.0
+MS_PER_SECOND = 1_000.0
+
+
+class Mode(enum.Enum):
+    """Where a process knows the tokens from."""
+
+    COLLECTOR = "collector"  # It keeps count for its failure domain.
+    TOLD = "told"  # A collector tells it.
+    ALONE = "alone"  # It has a share of its own.
+
+
+@attrs.define(eq=False)
+class AccountUse:
+    """Use of one account's quota.
+
+    Attributes:
+        name: Name of the account.
+        number: Its number in messages.
+        bucket: The tokens, as far as this process keeps count of them.
+        phase: Random number of at least 0 and below 1, so that processes
+            don't admit in step.
+        credit: Shares of refused requests, added up until they make one.
+        demand: Requests of all processes whose counts this one receives.
+        admitted: Requests admitted here, less those refunded.
+        offered: Requests received here.
+        domain_admitted: The same for the failure domain, since this process
+            has counted them.
+        domain_offered: The same for requests received.
+        unreported: Time of each request admitted here that the collector
+            may not know, and of each refund, with its sign.
+        told_tokens: Tokens that the collector last told.
+        told_demand_per_s: Requests per second that it last told.
+        told_ms: When it last told them.
+        tellings: Messages in which a collector still has to tell the quota.
+        refused: Requests refused since the start.
+        refused_before: ``refused`` when limiting last started.
+        last_refused_ms: Time of the last refusal.
+        limited: Whether requests were refused recently.
+    """
+
+    name: str
+    number: int
+    bucket: limits_quota.Bucket
+    phase: float
+    credit: float
+    demand: limits_quota.Demand = attrs.field(factory=limits_quota.Demand)
+    admitted: int = 0
+    offered: int = 0
+    domain_admitted: int = 0
+    domain_offered: int = 0
+    unreported: collections.deque[tuple[float, int]] = attrs.field(
+        factory=collections.deque
+    )
+    told_tokens: float = 0.0
+    told_demand_per_s: float = 0.0
+    told_ms: float = -1e12
+    tellings: int = 0
+    refused: int = 0
+    refused_before: int = 0
+    last_refused_ms: float = 0.0
+    limited: bool = False
+
+    def count_admitted(self, change: int) -> None:
+        """Counts an admission, or takes one back if the change is negative."""
+        self.admitted += change
+        self.domain_admitted += change
+
+    def drop_reported(self, until_ms: float) -> None:
+        """Drops the admissions that the collector knows of."""
+        while self.unreported and self.unreported[0][0] <= until_ms:
+            self.unreported.popleft()
+
+    def told_level(
+        self,
+        now_ms: float,
+        *,
+        heard_ms: float,
+        oldest_ms: float,
+        horizon_ms: float,
+    ) -> float:
+        """Returns the tokens according to the collector and own admissions.
+
+        Args:
+            now_ms: The time.
+            heard_ms: When the collector last told quotas.
+            oldest_ms: When an account must have been told at least; its quota
+                is not nearly used up otherwise.
+            horizon_ms: Time within which all processes together use the
+                present tokens in overload.
+        """
+        told = self.told_ms >= oldest_ms
+        depth = self.bucket.quota.depth
+        tokens = self.told_tokens if told else UNTOLD_PART * depth
+        since_ms = now_ms - (self.told_ms if told else heard_ms)
+        refill_ms = min(since_ms, MAX_REFILL_MS)
+        tokens += refill_ms / MS_PER_SECOND * self.bucket.quota.per_s
+        tokens = min(depth, tokens)
+        if tokens > 0.0 and since_ms > MAX_REFILL_MS:
+            tokens *= math.exp((MAX_REFILL_MS - since_ms) / horizon_ms)
+        return tokens - sum(change for _, change in self.unreported)
+
+    def takes_share(self, ratio: float) -> bool:
+        """Returns whether to admit a request if only a share is admitted.
+
+        The shares are added up instead of drawing random numbers, so that the
+        number of admitted requests is exact.
+        """
+        if ratio >= 1.0:
+            return True
+        self.credit += ratio
+        if self.credit < 1.0:
+            return False
+        self.credit -= 1.0
+        return True
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -86,11 +86,24 @@
             return
         if account is not None and account.priority is not None:
             route = attrs.evolve(route, priority=account.priority)
+        name = account.name if account else ""
+        refuse_ms = self.node.quotas.refuse_ms(name)
+        if refuse_ms is not None:
+            self.send_error(
+                request,
+                caller,
+                Kind.QUOTA_USED_UP,
+                None,
+                retry_after_ms=refuse_ms,
+                account=name,
+            )
+            return
         service = self.node.dealer.pick(route, self.node.rng.random())
         now_ms = self.node.clock.now_ms()
         self.node.retry_budget(service).record_request(now_ms)
         race = self.create_race(request, route, service, caller, account)
         if not self.can_answer(race):
+            self.node.quotas.refund(name)
             self.send_error(request, caller, Kind.LEAVING, race)
             return
         self.races[id(request)] = race
@@ -98,6 +111,8 @@
             outcome = await race.run()
         except BaseException:
             self.counters.abandoned += 1
+            if race.sends == 0:
+                self.node.quotas.refund(name)
             self.log_outcome(race, "abandoned")
             if caller.streaming:
                 caller.abort()
@@ -215,6 +230,8 @@
         response = outcome.response
         if response is None:
             kind = outcome.kind or Kind.INTERNAL
+            if table.response_for(kind).outcome is table.Outcome.NOT_RUN:
+                self.node.quotas.refund(race.sending.account)
             if caller.streaming:
                 self.log_outcome(race, kind.value)
                 caller.abort()
@@ -238,9 +255,23 @@
         caller: hop_server.CallerConnection,
         kind: kinds.ErrorKind,
         race: node_race.Race | None,
+        *,
+        retry_after_ms: float | None = None,
+        account: str = "",
     ) -> None:
-        """Responds with an error created by this process."""
-        response = answers.error_response(kind, self.retry_after_ms(kind, race))
+        """Responds with an error created by this process.
+
+        Args:
+            request: The request.
+            caller: Its connection.
+            kind: The error.
+            race: The race of the request, None if there was none.
+            retry_after_ms: When to retry, None for an estimate.
+            account: Name of the account, if it is known without a race.
+        """
+        if retry_after_ms is None:
+            retry_after_ms = self.retry_after_ms(kind, race)
+        response = answers.error_response(kind, retry_after_ms)
         identity = request.header(self.node.client.names.request_id)
         if identity is not None:
             response.headers.append(
@@ -256,6 +287,7 @@
                 "refused",
                 request=(identity or b"").decode("latin-1"),
                 kind=name,
+                account=account or None,
                 path=request.path[:200],
                 configuration=self.version(),
                 **self.unknown_key(request, kind),
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -193,6 +193,8 @@
             rate_limits=self.node.rate_limiter.reports_to_send(
                 now_ms, is_remote=False
             ),
+            quota_counts=self.node.quotas.exchange.counts_to_send(now_ms),
+            quota_levels=self.node.quotas.exchange.levels_to_send(now_ms),
             waiting=queue_counts.of_fleet(members, own, now_ms)
             if collecting
             else own,
@@ -218,6 +220,7 @@
             rate_limits=self.node.rate_limiter.reports_to_send(
                 now_ms, is_remote=True
             ),
+            quota_counts=self.node.quotas.exchange.remote_counts_to_send(),
             waiting=queue_counts.of_domain(self.node.members, own, now_ms),
             members=self.remote_states.next_states(round_robin=True),
         )
@@ -357,3 +360,4 @@
             self.node.reports.record_peer_report(report, now_ms, is_local)
         for limit in message.rate_limits:
             self.node.rate_limiter.record_peer_report(limit, now_ms, is_local)
+        self.node.quotas.exchange.receive(message, now_ms, is_local)
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -88,6 +88,9 @@
             service: queue.refused
             for service, queue in self.node.queues.items()
         }
+        limited = {
+            name: use.refused for name, use in self.node.quotas.uses.items()
+        }
         counter = exposition.render_counter
         return [
             *counter("total", "of", totals),
@@ -97,6 +100,7 @@
             *counter("sent_bytes_total", "audience", self.link.sent_bytes),
             *counter("repeats_refused_total", "service", refused),
             *counter("waits_refused_total", "service", waited),
+            *counter("quota_refused_total", "account", limited),
             *counter("log_lines_dropped", "event", self.node.log.dropped),
         ]
 
@@ -114,6 +118,7 @@
             "upstreams_known": len(self.node.loads.by_id),
             "requests_waiting": waiting,
             "upstreams_rate_limited": self.node.rate_limiter.limited_count(),
+            "accounts_limited": self.node.quotas.limited_count(),
             "ready": self.node.ready,
             "collecting": self.node.members.collecting_since_ms is not None,
             "period_ms": self.node.period_ms,
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -288,6 +288,7 @@
             self.node.reports.own_reported_failures.clear()
             self.node.client.pool.expire(now_ms)
             self.node.members.forget_gone(now_ms)
+            self.node.quotas.end_limiting()
 
     async def poll_settings(self) -> None:
         """Rereads the settings file periodically, without a signal."""
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -11,7 +11,9 @@
 from lovageyoke.fleet import queue_counts
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.limits import admission_queue as limits_queue
+from lovageyoke.limits import quota
 from lovageyoke.limits import shutdown
+from lovageyoke.node import quota_limiter
 from lovageyoke.node import rate_limiter
 from lovageyoke.node import report_exchange
 from lovageyoke.node import settings as node_settings
@@ -50,6 +52,7 @@
         members: The processes of the fleet.
         loads: Load views of the upstreams.
         rate_limiter: Rate limits of the upstreams.
+        quotas: Fleet-wide quotas of the client accounts.
         work: Work estimates of routes and services.
         table: The routes, None before a configuration is known.
         accounts: The client accounts, None if callers need none.
@@ -105,6 +108,15 @@
             loads=self.loads,
             request_heartbeat=self.request_heartbeat,
         )
+        self.quotas = quota_limiter.QuotaLimiter(
+            clock=clock,
+            rng=rng,
+            log=log,
+            members=members,
+            request_heartbeat=self.request_heartbeat,
+            period_ms=lambda: self.period_ms,
+            tolerance=tolerance_of(settings.bounds),
+        )
         self.work = work_estimate.WorkEstimates()
         self.table: route_table.RouteTable | None = None
         self.accounts: account_table.AccountTable | None = None
@@ -152,6 +164,7 @@
         """Applies reloaded settings."""
         self.settings = settings
         bounds = settings.bounds
+        self.quotas.set_tolerance(tolerance_of(bounds))
         for budget in self.retry_budgets.values():
             budget.set_bounds(
                 bounds.budget_ratio,
@@ -168,6 +181,7 @@
             if configuration.accounts
             else None
         )
+        self.quotas.apply_accounts(configuration.accounts)
         self.dealer.keep_only(configuration.routes)
         names = {each.name for each in configuration.routes}
         self.work.keep_only(names)
@@ -306,3 +320,10 @@
         """
         self.heartbeat_requested.set()
         self.remote_heartbeat_requested |= is_local
+
+
+def tolerance_of(bounds: node_settings.Bounds) -> quota.Tolerance:
+    """Returns by how much a window may exceed an account's quota."""
+    return quota.Tolerance(
+        bounds.quota_window_ms, bounds.quota_over, bounds.quota_slack
+    )
--- a/tests/explain/test_timeline.py
+++ b/tests/explain/test_timeline.py
@@ -54,6 +54,21 @@
     )
 
 
+def test_the_limiting_of_the_account_is_shown() -> None:
+    log = [
+        line(100, "n1", "quota-limited", account="mill", per_s=2.0),
+        line(110, "n1", "quota-limited", account="loom", per_s=3.0),
+        line(120, "n1", "quota-limiting-ended", account="loom"),
+        line(300, "n1", "refused", request="r1", account="mill"),
+    ]
+    found = timeline.explain(timeline.parse(log), "r1")
+    expected = [
+        "  believed for 200 ms: 100 n1 quota-limited account=mill per_s=2.0",
+        "300 n1 refused account=mill",
+    ]
+    assert_that(found, matchers.Equals(expected))
+
+
 def test_an_unknown_request_is_reported() -> None:
     (found,) = timeline.explain(timeline.parse(LOG), "r2")
     assert_that(found, matchers.Contains("no line"))
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -74,6 +74,25 @@
         ),
         max_size=3,
     ).map(tuple),
+    quota_counts=st.lists(
+        st.builds(
+            messages.QuotaCount,
+            account=st.integers(0, 2**32 - 1),
+            admitted=st.integers(0, 2**32 - 1),
+            offered=st.integers(0, 2**32 - 1),
+        ),
+        max_size=3,
+    ).map(tuple),
+    quota_levels=st.none()
+    | st.lists(
+        st.builds(
+            messages.QuotaLevel,
+            account=st.integers(0, 2**32 - 1),
+            tokens=st.floats(-1e9, 1e9, width=32),
+            demand_per_s=st.floats(0.0, 1e9, width=32),
+        ),
+        max_size=3,
+    ).map(tuple),
 )
 OTHERS = st.sampled_from(
     [
@@ -127,7 +146,7 @@
     )
     fields = cbor2.loads(codec.encode(heartbeat))
     assert isinstance(fields, list)
-    return [*fields[:-1], list(limits)]
+    return [*fields[:14], list(limits)]
 
 
 @pytest.mark.parametrize("per_s", [-1.0, math.inf, math.nan, "fast", [1]])
