--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -93,6 +93,9 @@
         refusals: collections.Counter[str] = collections.Counter()
         for queue in self.node.queues.values():
             refusals.update(queue.refusals())
+        limited = {
+            name: use.refused for name, use in self.node.quotas.uses.items()
+        }
         counter = exposition.render_counter
         return [
             *counter("total", "of", totals),
@@ -103,6 +106,7 @@
             *counter("repeats_refused_total", "service", refused),
             *counter("waits_refused_total", "service", waited),
             *counter("admission_refused_total", "of", refusals),
+            *counter("quota_refused_total", "account", limited),
             *counter("log_lines_dropped", "event", self.node.log.dropped),
         ]
 
@@ -123,6 +127,7 @@
             ),
             "requests_waiting": waiting,
             "upstreams_rate_limited": self.node.rate_limiter.limited_count(),
+            "accounts_limited": self.node.quotas.limited_count(),
             "ready": self.node.ready,
             "collecting": self.node.members.collecting_since_ms is not None,
             "period_ms": self.node.period_ms,
