Bound the memory that connections hold

Clients that nobody controls exhausted a process's memory: each limit held for one request or connection, none for the process, and one read of 256 KB could hold 14,000 pipelined requests.

All bytes held for requests, responses and connections now count against one budget, derived from memory_mb. When it is short, the largest unfinished body or head is refused (503, not run, Retry-After) or the caller with most unread responses is disconnected. Complete requests are never given up. Reads are 16 KB, callers that read nothing are disconnected after the idle timeout, and the number of connections is half of max_fds: the longest idle ones make room. The readiness, directory and metrics addresses share the budget, have a tenth of the descriptors and take bodies of 1 KB at most.

Request bodies over 64 KB are kept in blocks, not copied, and written to the upstream as it reads them. An upstream that answers early gets exactly the rest before the connection is closed.

The fake transport of test_endless_bytes.py got get_write_buffer_size, which the connection now asks for.

--- a/src/lovageyoke/hop/attempt.py
+++ b/src/lovageyoke/hop/attempt.py
@@ -13,6 +13,7 @@
 from lovageyoke.hop import messages
 from lovageyoke.hop import names
 from lovageyoke.hop import pool as hop_pool
+from lovageyoke.limits import memory_budget
 from lovageyoke.routing import model
 
 # Covers many round trips, even between failure domains.
@@ -61,6 +62,7 @@
         names: Names of the headers that the client sets and interprets.
         pool: Idle connections.
         clock: Source of time.
+        budget: Counts the bytes that the connections hold.
     """
 
     def __init__(
@@ -68,10 +70,12 @@
         header_names: names.HeaderNames,
         pool: hop_pool.ConnectionPool,
         clock: clock_api.Clock,
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
         self.names = header_names
         self.pool = pool
         self.clock = clock
+        self.budget = budget or memory_budget.unlimited()
 
     def prepare(
         self, request: messages.Request, repeatable: bool, deadline_ms: float
@@ -189,6 +193,7 @@
             upstream.port,
             self.names.request_id,
             min(CONNECT_TIMEOUT_MS, max(1.0, left_ms)),
+            self.budget,
         )
 
     def error_kind_of(
--- a/src/lovageyoke/hop/caller_exchange.py
+++ b/src/lovageyoke/hop/caller_exchange.py
@@ -28,8 +28,11 @@
         connection: The caller's connection.
         request: The request; None for the rejection of a message that isn't
             one.
+        request_bytes: Bytes that the request holds.
+        response_bytes: Bytes that the held response has.
         task: Handles the request, None before and after.
         first: Whether all earlier responses are complete.
+        started: Whether the task has begun to run.
         done: Whether the request has been handled.
         streaming: Whether a streamed response has been started and isn't
             complete.
@@ -46,11 +49,15 @@
         connection: server.CallerConnection,
         request: messages.Request | None,
         first: bool,
+        request_bytes: int = 0,
     ) -> None:
         self.connection = connection
         self.request = request
+        self.request_bytes = request_bytes
+        self.response_bytes = 0
         self.task: asyncio.Task[None] | None = None
         self.first = first
+        self.started = False
         self.done = False
         self.streaming = False
         self.streamed = False
@@ -69,6 +76,7 @@
         self.response_complete = True
         if not self.first:
             self.held = response
+            self.hold(len(response.body))
             return
         headers = answers.forwarded_headers(response)
         headers.append((b"content-length", str(len(response.body)).encode()))
@@ -102,6 +110,7 @@
         """Writes a chunk of the body of a streamed response."""
         if not self.first:
             self.held_chunks.append(chunk)
+            self.hold(len(chunk))
             return
         if self.chunked:
             chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
@@ -137,6 +146,7 @@
     def start_turn(self) -> None:
         """Writes what was held until all earlier responses were complete."""
         self.first = True
+        self.hold(-self.response_bytes)
         if self.aborted:
             self.connection.abort()
         held, self.held = self.held, None
@@ -160,6 +170,7 @@
     def drop(self) -> None:
         """Drops what is held after the connection is closed."""
         self.first = True
+        self.hold(-self.response_bytes)
         self.held = None
         self.held_chunks = []
         if self.turn is not None:
@@ -167,6 +178,13 @@
 
     # Internal methods
 
+    def hold(self, size: int) -> None:
+        """Counts bytes of a response that waits for its turn."""
+        self.response_bytes += size
+        self.connection.pipeline.held_bytes += size
+        if size > 0:
+            self.connection.update_charge()
+
     def encode_head(
         self, response: messages.Response, headers: messages.Headers
     ) -> bytes:
--- a/src/lovageyoke/hop/connection.py
+++ b/src/lovageyoke/hop/connection.py
@@ -4,32 +4,31 @@
 
 import asyncio
 from collections.abc import Callable
-import socket
-import typing
 
 import httptools
 
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
 from lovageyoke.hop import api
+from lovageyoke.hop import client_transport
 from lovageyoke.hop import exchange as hop_exchange
+from lovageyoke.hop import large_body
 from lovageyoke.hop import line_limit
 from lovageyoke.hop import messages
+from lovageyoke.hop import response_body
 from lovageyoke.hop import response_checks
+from lovageyoke.limits import memory_budget
 
-# Larger response bodies are streamed instead of buffered.
-STREAMING_THRESHOLD_BYTES = 1_048_576
+STREAMING_THRESHOLD_BYTES = response_body.STREAMING_THRESHOLD_BYTES
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 64  # Before one final response.
 # A faulty peer may repeat any earlier refusal, so each one is remembered.
 MAX_REFUSALS = 16
-# TCP user timeout, after which the connection to a dead peer is closed.
-USER_TIMEOUT_MS = 10_000
 
 Kind = kinds.ErrorKind
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(client_transport.ClientTransport):
     """A connection with exclusive ownership while it is out of the pool.
 
     A response that carries another request's ID is discarded, and the
@@ -38,29 +37,32 @@
 
     Attributes:
         identity_header: Response header that carries the request ID.
-        transport: The transport, None before the connection is made.
+        body: The part of a response body that has not been passed on.
         exchange: The exchange in progress, if any.
         responses_received: Number of responses received over the connection.
         refused_ids: IDs of the requests that were answered with an error.
         idle_since_ms: Set by the pool when the connection is put back.
         keep_alive_ms: Idle timeout announced by the peer, None if absent.
         closed: Whether the connection is lost.
-        must_close: Whether the connection must not be reused.
         on_closed: Called when the connection is lost.
         parser: Parses the responses, None once the connection is lost. It
             refers to this connection and may hold much of a response.
     """
 
-    def __init__(self, identity_header: bytes) -> None:
+    def __init__(
+        self,
+        identity_header: bytes,
+        budget: memory_budget.MemoryBudget | None = None,
+    ) -> None:
+        super().__init__(budget or memory_budget.unlimited())
         self.identity_header = identity_header
-        self.transport: asyncio.Transport | None = None
+        self.body = response_body.ResponseBody(self.budget)
         self.exchange: hop_exchange.Exchange | None = None
         self.responses_received = 0
         self.refused_ids: set[bytes | None] = set()
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
         self.closed = False
-        self.must_close = False
         self.on_closed: Callable[[ClientConnection], None] | None = None
         self.parser: httptools.HttpResponseParser | None = (
             httptools.HttpResponseParser(self)
@@ -70,22 +72,13 @@
 
     # asyncio.Protocol
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Stores the transport and sets the TCP user timeout."""
-        # uvloop's transports don't derive from asyncio's.
-        self.transport = typing.cast("asyncio.Transport", transport)
-        sock = transport.get_extra_info("socket")
-        if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-            )
-
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the exchange in progress."""
         self.closed = True
         self.fail(Kind.UPSTREAM_RESET, f"connection ended: {exc or 'closed'}")
         self.parser = None
         self.reset_message()
+        self.drop_body()
         if self.on_closed is not None:
             self.on_closed(self)
 
@@ -174,11 +167,11 @@
             sink.write_body(body)
             self.pause_until_writable(sink)
             return
-        self.body += body
+        self.body.add(body)
         if sink is None:
-            if len(self.body) > self.exchange.most_body_bytes:
+            if len(self.body.collected) > self.exchange.most_body_bytes:
                 self.reject("response body too large")
-        elif len(self.body) > STREAMING_THRESHOLD_BYTES:
+        elif self.body.should_stream():
             self.start_streaming(sink)
 
     def on_message_complete(self) -> None:
@@ -197,7 +190,7 @@
     def send_request(
         self,
         head: bytes,
-        body: bytes,
+        body: bytes | large_body.LargeBody,
         request_id: bytes | None,
         sink: api.BodySink | None = None,
         *,
@@ -228,7 +221,7 @@
         self.exchange = hop_exchange.Exchange(
             request_id, future, sink, head_only, on_head, most_body_bytes
         )
-        self.transport.write(head + body if body else head)
+        self.write_request(self.transport, head, body)
         return future
 
     def usable(self) -> bool:
@@ -240,6 +233,7 @@
             or self.transport is None
             or self.transport.is_closing()
             or self.transport.get_write_buffer_size() > 0
+            or not self.body_written()
         )
 
     def distinguishes(self, request_id: bytes | None) -> bool:
@@ -255,18 +249,6 @@
             return self.responses_received == 0
         return request_id not in self.refused_ids
 
-    def abort(self) -> None:
-        """Closes the connection immediately, without flushing."""
-        self.must_close = True
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.abort()
-
-    def close(self) -> None:
-        """Closes an idle connection."""
-        self.must_close = True
-        if self.transport is not None:
-            self.transport.close()
-
     # Internal methods
 
     def reset_message(self) -> None:
@@ -275,8 +257,7 @@
         self.reason = b""
         self.headers: messages.Headers = []
         self.head_bytes = 0
-        # Chunks of a few bytes each would take many times their size.
-        self.body = bytearray()
+        self.body.clear()
         self.mismatched = False
         self.streaming = False
 
@@ -296,25 +277,13 @@
         """Passes the buffered body to the sink and streams the rest."""
         self.streaming = True
         sink.start_response(self.response(b""))
-        sink.write_body(bytes(self.body))
-        self.body = bytearray()
+        sink.write_body(self.body.take())
         self.pause_until_writable(sink)
 
     def pause_until_writable(self, sink: api.BodySink) -> None:
         """Pauses reading until the sink can accept more data."""
-        if self.transport is None:
-            return
-        self.transport.pause_reading()
-        task = asyncio.ensure_future(sink.wait_writable())
-        task.add_done_callback(self.on_sink_writable)
-
-    def on_sink_writable(self, task: asyncio.Task[None]) -> None:
-        """Resumes reading, or aborts if waiting for the sink failed."""
-        if not task.cancelled() and task.exception() is None:
-            if self.transport is not None and not self.transport.is_closing():
-                self.transport.resume_reading()
-            return
-        self.abort()
+        if self.transport is not None:
+            response_body.pause_until_writable(self.transport, sink, self.abort)
 
     def response(self, body: bytes) -> messages.Response:
         """Returns the parsed response with the given body."""
@@ -335,8 +304,7 @@
         if self.status >= messages.FIRST_ERROR_STATUS:
             self.refused_ids.add(exchange.request_id)
         self.keep_alive_ms = messages.keep_alive_timeout_ms(self.headers)
-        response = self.response(bytes(self.body))
-        self.body = bytearray()
+        response = self.response(self.body.take())
         if (
             self.parser is None
             or self.is_close_delimited()
@@ -359,7 +327,7 @@
             return
         exchange, self.exchange = self.exchange, None
         self.must_close = True
-        if self.status and self.body:
+        if self.status and self.body.collected:
             kind = Kind.RESPONSE_TRUNCATED
         if not exchange.future.done():
             exchange.future.set_exception(
@@ -368,7 +336,11 @@
 
 
 async def connect(
-    host: str, port: int, identity_header: bytes, timeout_ms: float
+    host: str,
+    port: int,
+    identity_header: bytes,
+    timeout_ms: float,
+    budget: memory_budget.MemoryBudget | None = None,
 ) -> ClientConnection:
     """Opens a connection.
 
@@ -377,6 +349,7 @@
         port: TCP port.
         identity_header: Response header that carries the request ID.
         timeout_ms: Connect timeout in milliseconds.
+        budget: Counts the bytes that the connection holds, None to count none.
 
     Raises:
         UpstreamError: The connection failed; nothing was sent.
@@ -385,7 +358,7 @@
     try:
         async with asyncio.timeout(timeout_ms / 1_000.0):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(identity_header), host, port
+                lambda: ClientConnection(identity_header, budget), host, port
             )
     # An address that no socket accepts raises other errors than OSError.
     except (OSError, TimeoutError, ValueError, OverflowError) as error:
--- a/src/lovageyoke/hop/messages.py
+++ b/src/lovageyoke/hop/messages.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from lovageyoke.hop import large_body
+
 Headers = list[tuple[bytes, bytes]]
 
 FIRST_FINAL_STATUS = 200  # 1xx responses precede the final response.
@@ -36,7 +38,7 @@
         method: HTTP method.
         target: Path and query, as received.
         headers: Pairs of lowercase name and value.
-        body: The complete body.
+        body: The complete body, in blocks if it is large.
         keep_alive: Whether the connection may carry another request.
         arrived_ms: Time when the last byte was read.
     """
@@ -44,7 +46,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes = b""
+    body: bytes | large_body.LargeBody = b""
     keep_alive: bool = True
     arrived_ms: float = 0.0
 
--- a/src/lovageyoke/hop/pipeline.py
+++ b/src/lovageyoke/hop/pipeline.py
@@ -10,6 +10,7 @@
 from lovageyoke.hop import answers
 from lovageyoke.hop import api
 from lovageyoke.hop import caller_exchange
+from lovageyoke.hop import connection_set
 from lovageyoke.hop import messages
 
 if typing.TYPE_CHECKING:
@@ -36,6 +37,8 @@
         running: Number of requests being handled.
         running_overlap: Whether the requests being handled may run beside
             others, None if not known yet.
+        request_bytes: Bytes that the requests hold.
+        held_bytes: Bytes of the responses that wait for their turn.
     """
 
     def __init__(
@@ -47,12 +50,23 @@
         self.waiting: Exchanges = collections.deque()
         self.running = 0
         self.running_overlap: bool | None = None
+        self.request_bytes = 0
+        self.held_bytes = 0
 
-    def add(self, request: messages.Request) -> None:
-        """Handles a request now or when those before it permit it."""
+    def add(self, request: messages.Request, size: int) -> None:
+        """Handles a request now or when those before it permit it.
+
+        Args:
+            request: The request.
+            size: Bytes that it holds.
+        """
         exchange = caller_exchange.CallerExchange(
-            self.connection, request, first=not self.exchanges
+            self.connection,
+            request,
+            first=not self.exchanges,
+            request_bytes=size + connection_set.REQUEST_BYTES,
         )
+        self.request_bytes += exchange.request_bytes
         self.exchanges.append(exchange)
         if not self.waiting and self.may_start(request):
             self.start(exchange, request)
@@ -91,12 +105,18 @@
         self.waiting.clear()
         for exchange in self.exchanges:
             exchange.drop()
+            if exchange.task is None:
+                self.release(exchange)
             if (
                 exchange.task is not None
                 and exchange.request is not None
                 and self.handler.may_cancel(exchange.request)
             ):
                 exchange.task.cancel()
+                if not exchange.started:
+                    # ``run`` will never begin.
+                    self.running -= 1
+                    self.release(exchange)
         self.exchanges.clear()
 
     # Internal methods
@@ -107,13 +127,19 @@
             if self.connection.disconnected():
                 return
             exchange = self.exchanges.popleft()
+            self.release(exchange)
             if not exchange.response_complete:
                 self.connection.abort()
             elif exchange.closes:
-                self.connection.close()
+                self.connection.finish()
             elif self.exchanges:
                 self.exchanges[0].start_turn()
 
+    def release(self, exchange: caller_exchange.CallerExchange) -> None:
+        """Stops counting the bytes of a request."""
+        self.request_bytes -= exchange.request_bytes
+        exchange.request_bytes = 0
+
     def may_start(self, request: messages.Request) -> bool:
         """Returns whether a request may run with those being handled."""
         if not self.connection.writable.is_set():
@@ -150,6 +176,7 @@
         request: messages.Request,
     ) -> None:
         """Handles a request, then continues with those behind it."""
+        exchange.started = True
         connections = self.connection.connections
         connections.in_flight += 1
         try:
@@ -167,4 +194,7 @@
             self.running -= 1
             exchange.task = None
             exchange.done = True
+            if exchange not in self.exchanges:
+                # The caller has disconnected.
+                self.release(exchange)
             self.connection.proceed()
--- a/src/lovageyoke/hop/request_parser.py
+++ b/src/lovageyoke/hop/request_parser.py
@@ -8,11 +8,15 @@
 
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import kinds
+from lovageyoke.hop import large_body
 from lovageyoke.hop import line_limit
 from lovageyoke.hop import messages
 from lovageyoke.routing import model
 
 HEAD_END = b"\r\n\r\n"
+# Objects for the name and the value of a header.
+HEADER_BYTES = 200
+MAX_SMALL_BODY_BYTES = large_body.BLOCK_BYTES
 
 
 class RequestReceiver(abc.ABC):
@@ -23,8 +27,13 @@
         """Returns the limits that currently apply to callers."""
 
     @abc.abstractmethod
-    def receive_request(self, request: messages.Request) -> None:
-        """Receives a complete request."""
+    def receive_request(self, request: messages.Request, size: int) -> None:
+        """Receives a complete request.
+
+        Args:
+            request: The request.
+            size: Bytes that it holds.
+        """
 
     @abc.abstractmethod
     def expect_body(self) -> None:
@@ -52,7 +61,8 @@
             if the body has no stated length.
         target: Target of the request, as far as received.
         headers: Headers of the request, as far as received.
-        body: Body of the request, as far as received.
+        body: Body of the request as far as received, if it is small.
+        large_body: Body of the request as far as received, if it is large.
     """
 
     def __init__(
@@ -66,6 +76,8 @@
         self.line_limit = line_limit.LineLimit()
         self.in_message = False
         self.body_left: int | None = 0
+        self.body = bytearray()
+        self.large_body: large_body.LargeBody | None = None
         self.reset_message()
 
     def feed(self, data: bytes, start: int) -> int:
@@ -111,6 +123,18 @@
         found = data.find(HEAD_END, start)
         return len(data) if found < 0 else found + len(HEAD_END)
 
+    def held_bytes(self) -> int:
+        """Returns the number of bytes held of an incomplete message."""
+        held_bytes = (
+            self.head_bytes
+            + self.line_limit.pending_bytes
+            + len(self.headers) * HEADER_BYTES
+            + len(self.body)
+        )
+        if self.large_body is not None:
+            held_bytes += self.large_body.held_bytes()
+        return held_bytes
+
     def close(self) -> None:
         """Frees what was received of an incomplete message."""
         self.parser = None
@@ -156,29 +180,40 @@
         """Buffers a chunk of the body and enforces the size limit."""
         self.line_limit.record_progress()
         limit = self.receiver.caller_limits().body_bytes
-        if len(self.body) + len(body) > limit:
+        large = self.large_body
+        size = len(self.body) if large is None else len(large)
+        if size + len(body) > limit:
             self.receiver.reject(kinds.ErrorKind.BODY_TOO_LARGE)
             return
         if self.body_left is not None:
             self.body_left -= len(body)
-        self.body += body
+        if large is None and size + len(body) <= MAX_SMALL_BODY_BYTES:
+            self.body += body
+            return
+        if large is None:
+            self.large_body = large = large_body.LargeBody()
+            large.append(self.body)
+            self.body = bytearray()
+        large.append(body)
 
     def on_message_complete(self) -> None:
         """Passes on a complete request."""
         self.line_limit.record_progress()
         if self.parser is None:
             return
+        size = self.held_bytes()
+        body = self.large_body
         request = messages.Request(
             self.parser.get_method(),
             self.target,
             self.headers,
-            bytes(self.body),
+            bytes(self.body) if body is None else body,
             self.parser.should_keep_alive(),
             self.clock.now_ms(),
         )
         self.in_message = False
         self.reset_message()
-        self.receiver.receive_request(request)
+        self.receiver.receive_request(request, size)
 
     # Internal methods
 
@@ -196,3 +231,4 @@
         self.body_left = 0
         # Chunks of a few bytes each would take many times their size.
         self.body = bytearray()
+        self.large_body = None
--- a/src/lovageyoke/hop/server.py
+++ b/src/lovageyoke/hop/server.py
@@ -6,49 +6,42 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 import typing
 
-import attrs
-
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import kinds
 from lovageyoke.hop import answers
 from lovageyoke.hop import api
 from lovageyoke.hop import caller_exchange
+from lovageyoke.hop import connection_set
 from lovageyoke.hop import messages
 from lovageyoke.hop import pipeline as request_pipeline
 from lovageyoke.hop import request_parser
+from lovageyoke.hop import unread_timer
+from lovageyoke.limits import memory_budget
 from lovageyoke.routing import model
 
 # Unparsed bytes above which a connection isn't read. Below it, reading
 # continues so that a disconnect is noticed.
-MAX_UNPARSED_BYTES = 32_768
+MAX_UNPARSED_BYTES = 16_384
 LOW_WATER_BYTES = 32_768
 HIGH_WATER_BYTES = 131_072
+# Time to discard the rest of a refused body.
+LINGER_MS = 1_000.0
+BODY_REFUSALS = frozenset(
+    {kinds.ErrorKind.BODY_TOO_LARGE, kinds.ErrorKind.OVERLOADED}
+)
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@attrs.define
-class ConnectionSet:
-    """The open connections of one listener.
-
-    Attributes:
-        open: The connections.
-        in_flight: Number of requests being handled.
-    """
-
-    open: set[CallerConnection] = attrs.field(factory=set)
-    in_flight: int = 0
+ConnectionSet = connection_set.ConnectionSet
 
-    def close_idle(self) -> None:
-        """Closes the connections that have no request in progress."""
-        for connection in list(self.open):
-            if connection.idle():
-                connection.close()
 
-
-class CallerConnection(asyncio.Protocol, request_parser.RequestReceiver):
+class CallerConnection(
+    asyncio.BufferedProtocol,
+    request_parser.RequestReceiver,
+    memory_budget.Holder,
+):
     """A connection from a caller.
 
     Attributes:
@@ -65,6 +58,10 @@
         reading_paused: Whether reading is paused.
         continue_due: Whether the caller waits for 100 (Continue), which has
             to follow the earlier responses.
+        lingers: Whether the caller may still send a refused body.
+        finished: Whether nothing is written any more.
+        lost: Whether the connection is closed.
+        unread_timer: Time limit for a caller that reads nothing.
         writable: Set unless the write buffer is full.
     """
 
@@ -87,6 +84,10 @@
         self.receiving = False
         self.reading_paused = False
         self.continue_due = False
+        self.lingers = False
+        self.finished = False
+        self.lost = False
+        self.unread_timer: unread_timer.UnreadTimer | None = None
         self.writable = asyncio.Event()
         self.writable.set()
 
@@ -99,7 +100,8 @@
         self.transport.set_write_buffer_limits(
             high=HIGH_WATER_BYTES, low=LOW_WATER_BYTES
         )
-        self.connections.open.add(self)
+        self.unread_timer = unread_timer.UnreadTimer(self.transport)
+        self.connections.add(self)
         # The time limit of a head starts with its first byte.
         self.start_read_timer(self.handler.limits().idle_timeout_ms)
 
@@ -111,6 +113,10 @@
         self.discard_input()
         self.writable.set()
         self.pipeline.drop()
+        if self.unread_timer is not None:
+            self.unread_timer.stop()
+        self.lost = True
+        self.update_charge()
 
     def eof_received(self) -> bool:
         """Treats a half-closed connection as closed by the caller."""
@@ -119,11 +125,27 @@
     def pause_writing(self) -> None:
         """Holds further requests while the write buffer is full."""
         self.writable.clear()
+        self.start_unread_timer()
+        self.update_charge()
 
     def resume_writing(self) -> None:
         """Continues after the write buffer has emptied."""
         self.writable.set()
-        self.proceed()
+        if self.unread_timer is not None:
+            self.unread_timer.stop()
+        # A transport that is closed while it resumes writing reports the end
+        # of the connection twice.
+        asyncio.get_running_loop().call_soon(self.proceed)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for received bytes."""
+        del sizehint
+        return self.connections.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Takes received bytes from the buffer."""
+        if self.accepting:
+            self.data_received(bytes(self.connections.read_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes as far as requests can be accepted."""
@@ -135,6 +157,13 @@
             self.unparsed = data
         self.parsed_end = 0
         self.parse()
+        if (
+            self.unparsed
+            or self.parser.in_message
+            or self.pipeline.request_bytes
+            > connection_set.ORDINARY_REQUEST_BYTES
+        ):
+            self.update_charge()
 
     # request_parser.RequestReceiver
 
@@ -142,14 +171,14 @@
         """Returns the limits that currently apply to callers."""
         return self.handler.limits()
 
-    def receive_request(self, request: messages.Request) -> None:
+    def receive_request(self, request: messages.Request, size: int) -> None:
         """Handles a request now or when those before it permit it."""
         if not self.accepting:
             return
         self.stop_read_timer()
         self.receiving = False
         self.continue_due = False
-        self.pipeline.add(request)
+        self.pipeline.add(request, size)
         if not request.keep_alive:
             self.discard_input()
 
@@ -169,6 +198,7 @@
             return
         self.stop_read_timer()
         self.discard_input()
+        self.lingers = kind in BODY_REFUSALS
         self.pipeline.add_response(answers.error_response(kind))
 
     def stop_accepting(self) -> None:
@@ -206,7 +236,11 @@
 
     def disconnected(self) -> bool:
         """Returns whether the connection is closed or closing."""
-        return self.transport is None or self.transport.is_closing()
+        return (
+            self.transport is None
+            or self.finished
+            or self.transport.is_closing()
+        )
 
     def idle(self) -> bool:
         """Returns whether no request is in progress or being received."""
@@ -226,8 +260,26 @@
     def close(self) -> None:
         """Closes the connection after flushing the write buffer."""
         if self.transport is not None:
+            self.start_unread_timer()
             self.transport.close()
 
+    def finish(self) -> None:
+        """Closes the connection after the last response.
+
+        A caller that still sends a refused body may lose a response that is
+        closed before the body is read, so the rest is discarded for a while.
+        """
+        if not self.lingers or self.transport is None:
+            self.close()
+            return
+        self.start_unread_timer()
+        self.finished = True
+        self.start_read_timer(LINGER_MS)
+        try:
+            self.transport.write_eof()
+        except OSError:  # The caller has reset the connection.
+            self.transport.abort()
+
     def parse(self) -> None:
         """Parses received bytes while requests can be accepted."""
         while (
@@ -253,8 +305,12 @@
     def proceed(self) -> None:
         """Continues after a response or when more can be written."""
         self.pipeline.proceed()
-        if self.disconnected():
-            return
+        if not self.disconnected():
+            self.continue_reading()
+        self.update_charge()
+
+    def continue_reading(self) -> None:
+        """Parses what has been received, or waits for more."""
         idle = not self.pipeline.exchanges
         if self.continue_due and idle:
             self.continue_due = False
@@ -264,6 +320,58 @@
         elif idle and not self.receiving and self.accepting:
             self.start_read_timer(self.handler.limits().idle_timeout_ms)
 
+    # memory_budget.Holder
+
+    def reclaimable_bytes(self) -> int:
+        """Returns the bytes of unfinished requests and unread responses."""
+        if self.transport is None or self.lost:
+            return 0
+        held_bytes = self.transport.get_write_buffer_size()
+        if self.unparsed or self.parser.in_message or self.pipeline.held_bytes:
+            held_bytes += self.pipeline.held_bytes + len(self.unparsed)
+            held_bytes += self.parser.held_bytes()
+        return held_bytes
+
+    def give_up(self) -> str:
+        """Refuses an unfinished request or disconnects the caller."""
+        unread = self.transport is None or (
+            self.transport.get_write_buffer_size() > 0
+        )
+        if self.receiving and self.accepting and not unread:
+            self.reject(kinds.ErrorKind.OVERLOADED)
+            self.update_charge()
+            return "request refused"
+        self.abort()
+        self.discard_input()
+        self.pipeline.drop()
+        self.update_charge()
+        return "connection closed"
+
+    def update_charge(self) -> None:
+        """Counts the bytes that the connection holds now."""
+        if self.lost and not self.pipeline.running:
+            self.connections.budget.remove(self)
+            return
+        held_bytes = self.reclaimable_bytes()
+        request_bytes = self.pipeline.request_bytes
+        if request_bytes <= connection_set.ORDINARY_REQUEST_BYTES:
+            size = connection_set.ORDINARY_BYTES + held_bytes
+        else:
+            size = connection_set.CONNECTION_BYTES + request_bytes + held_bytes
+        if size != self.charged_bytes:
+            self.connections.budget.charge(self, size)
+
+    # Time limits
+
+    def start_unread_timer(self) -> None:
+        """Disconnects a caller that reads nothing for the idle time."""
+        if self.unread_timer is not None:
+            self.unread_timer.start(self.handler.limits().idle_timeout_ms)
+
+    def read_timeout_s(self) -> float:
+        """Returns when the read timeout ends; an idle connection has one."""
+        return 0.0 if self.read_timer is None else self.read_timer.when()
+
     def start_read_timer(self, timeout_ms: float) -> None:
         """Closes the connection unless a complete request arrives in time."""
         self.stop_read_timer()
@@ -288,23 +396,3 @@
         if self.read_timer is not None:
             self.read_timer.cancel()
             self.read_timer = None
-
-
-ProtocolFactory = Callable[[], CallerConnection]
-
-
-async def listen(
-    factory: ProtocolFactory, host: str, port: int, backlog: int = 512
-) -> asyncio.Server:
-    """Starts a server that accepts connections.
-
-    Args:
-        factory: Creates the protocol of each connection.
-        host: IP address.
-        port: TCP port.
-        backlog: Maximum number of connections waiting to be accepted.
-    """
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(
-        factory, host, port, backlog=backlog, reuse_address=True
-    )
--- a/src/lovageyoke/node/assembly.py
+++ b/src/lovageyoke/node/assembly.py
@@ -15,6 +15,7 @@
 from lovageyoke.fleet import messages as fleet_messages
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.hop import pool as hop_pool
+from lovageyoke.limits import memory_budget
 from lovageyoke.node import directory_handler
 from lovageyoke.node import process
 from lovageyoke.node import settings as node_settings
@@ -71,7 +72,10 @@
         rng=random.Random(os.urandom(16)),  # noqa: S311
         log=events.EventLog(clock, settings.node_id, log_descriptor),
         client=hop_attempt.UpstreamClient(
-            headers.NAMES, hop_pool.ConnectionPool(), clock
+            headers.NAMES,
+            hop_pool.ConnectionPool(),
+            clock,
+            memory_budget.for_process(settings.memory_bytes),
         ),
         decode_load=headers.decode_load,
         decode_rate_limit=headers.decode_rate_limit,
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -122,10 +122,10 @@
     def may_overlap(self, request: messages.Request) -> bool:
         """Returns whether a request may run beside others of its connection.
 
-        A request without a route is refused at once.
+        A request without a route is refused at once, one at a time.
         """
         route = self.route_of(request)
-        return isinstance(route, kinds.ErrorKind) or route.idempotent
+        return isinstance(route, model.Route) and route.idempotent
 
     def leaving(self) -> bool:
         """Returns whether to close connections after the next response."""
--- a/src/lovageyoke/node/internal.py
+++ b/src/lovageyoke/node/internal.py
@@ -7,6 +7,9 @@
 from lovageyoke.node import state as node_state
 from lovageyoke.routing import model
 
+# These requests need no body.
+LIMITS = model.CallerLimits(body_bytes=1_024)
+
 
 class InternalHandler(hop_api.RequestHandler):
     """Handles requests that are addressed to this process itself.
@@ -23,8 +26,8 @@
         self.node.log.event("fault", path=request.path, error=repr(error))
 
     def limits(self) -> model.CallerLimits:
-        """Returns the default limits."""
-        return model.CallerLimits()
+        """Returns the default limits, with hardly any body."""
+        return LIMITS
 
     def may_cancel(self, request: messages.Request) -> bool:
         """Returns True: these requests may always be cancelled."""
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -5,6 +5,7 @@
 from lovageyoke.fleet import follower as fleet_follower
 from lovageyoke.fleet import link as fleet_link
 from lovageyoke.hop import api as hop_api
+from lovageyoke.hop import connection_set as hop_connections
 from lovageyoke.hop import messages
 from lovageyoke.node import forwarder as node_forwarder
 from lovageyoke.node import internal
@@ -27,6 +28,7 @@
         prober: Source of the health check metrics.
         store: Source of the store call counts.
         link: Source of the peer traffic metrics.
+        connections: The callers' connections.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         self.prober = prober
         self.store = store
         self.link = link
+        self.connections = hop_connections.ConnectionSet()
 
     async def handle(
         self, request: messages.Request, caller: hop_api.ResponseWriter
@@ -79,6 +82,8 @@
             "log_lines": self.node.log.written,
             "heard_bytes": self.link.received_bytes,
             "malformed_messages": self.link.malformed,
+            "connections_evicted": self.connections.evicted,
+            "connections_refused": self.connections.refused,
         }
         refused = {
             service: budget.refused
@@ -88,6 +93,7 @@
             service: queue.refused
             for service, queue in self.node.queues.items()
         }
+        budget = self.node.client.budget
         counter = exposition.render_counter
         return [
             *counter("total", "of", totals),
@@ -97,6 +103,7 @@
             *counter("sent_bytes_total", "audience", self.link.sent_bytes),
             *counter("repeats_refused_total", "service", refused),
             *counter("waits_refused_total", "service", waited),
+            *counter("memory_short_total", "done", budget.relieved),
             *counter("log_lines_dropped", "event", self.node.log.dropped),
         ]
 
@@ -117,6 +124,10 @@
             "ready": self.node.ready,
             "collecting": self.node.members.collecting_since_ms is not None,
             "period_ms": self.node.period_ms,
+            "connections_open": len(self.connections.open),
+            "held_bytes": self.node.client.budget.used_bytes,
+            "held_bytes_peak": self.node.client.budget.peak_bytes,
+            "held_bytes_limit": self.node.client.budget.limit_bytes,
         }
         lines = [
             line
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -14,6 +14,7 @@
 from lovageyoke.fleet import registration as fleet_registration
 from lovageyoke.fleet import replica as fleet_replica
 from lovageyoke.hop import api as hop_api
+from lovageyoke.hop import listener as hop_listener
 from lovageyoke.hop import server as hop_server
 from lovageyoke.limits import shutdown
 from lovageyoke.node import directory_handler
@@ -39,6 +40,11 @@
 RESTART_FIRST_MS = 100.0
 RESTART_MAX_MS = 5_000.0
 
+# Of the file descriptors. The rest is for connections to upstreams, of which
+# a request needs one or two.
+CALLER_SHARE = 0.5
+INTERNAL_SHARE = 0.1
+
 TaskFunction = Callable[[], Awaitable[None]]
 
 
@@ -107,8 +113,16 @@
             link=self.messenger.link,
         )
         self.ports: list[int] = []
-        self.connections = hop_server.ConnectionSet()
-        self.internal_connections = hop_server.ConnectionSet()
+        budget = node.client.budget
+        budget.on_relief = self.log_relief
+        most = node.settings.max_descriptors
+        self.connections = hop_server.ConnectionSet(
+            budget=budget, most_open=int(most * CALLER_SHARE)
+        )
+        self.internal_connections = hop_server.ConnectionSet(
+            budget=budget, most_open=int(most * INTERNAL_SHARE)
+        )
+        self.metrics.connections = self.connections
         self.stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -194,7 +208,7 @@
         server = await node_start.open_listener(
             self.node,
             address,
-            lambda: hop_server.listen(
+            lambda: hop_listener.listen(
                 lambda: hop_server.CallerConnection(
                     handler, clock, connections
                 ),
@@ -295,6 +309,17 @@
             await self.node.clock.sleep_ms(RELOAD_INTERVAL_MS)
             self.reload_settings(signalled=False)
 
+    def log_relief(self, done: str, size: int) -> None:
+        """Logs that a connection gave up memory."""
+        budget = self.node.client.budget
+        self.node.log.event(
+            "memory-short",
+            done=done,
+            freed_bytes=size,
+            used_bytes=budget.used_bytes,
+            limit_bytes=budget.limit_bytes,
+        )
+
     # Changes
 
     def configuration_changed(self, configuration: model.Configuration) -> None:
--- a/tests/fakes/handlers.py
+++ b/tests/fakes/handlers.py
@@ -8,6 +8,7 @@
 
 from lovageyoke.clock import system
 from lovageyoke.hop import api as hop_api
+from lovageyoke.hop import listener as hop_listener
 from lovageyoke.hop import messages
 from lovageyoke.hop import server as hop_server
 from lovageyoke.routing import model
@@ -72,7 +73,7 @@
 
     async def __aenter__(self) -> Listener:
         clock = system.SystemClock()
-        self.server = await hop_server.listen(
+        self.server = await hop_listener.listen(
             lambda: hop_server.CallerConnection(
                 self.handler, clock, self.connections
             ),
--- a/tests/hop/test_endless_bytes.py
+++ b/tests/hop/test_endless_bytes.py
@@ -57,6 +57,9 @@
     ) -> None:
         del high, low
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
 
 class Handler(api.RequestHandler):
     """Accepts nothing but has the default limits."""
