--- a/src/lovageyoke/hop/answers.py
+++ b/src/lovageyoke/hop/answers.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import random
+
 from lovageyoke.errors import kinds
 from lovageyoke.errors import table
 from lovageyoke.hop import messages
 
+REJECTION_RETRY_AFTER_MS = (500.0, 1_500.0)
+
 
 def forwarded_headers(response: messages.Response) -> messages.Headers:
     """Returns the response headers that are forwarded to the caller."""
@@ -38,3 +42,13 @@
         headers.append((b"retry-after", f"{seconds:.3f}".encode()))
     body = f"{answer.title}.\n".encode()
     return messages.Response(answer.status, kind.value.encode(), headers, body)
+
+
+def rejection(kind: kinds.ErrorKind) -> messages.Response:
+    """Returns the response to a message that can't be accepted.
+
+    Many may be refused at once for want of memory; they should not return in
+    step.
+    """
+    spread_ms = random.uniform(*REJECTION_RETRY_AFTER_MS)  # noqa: S311
+    return error_response(kind, spread_ms)
--- a/src/lovageyoke/hop/connection_set.py
+++ b/src/lovageyoke/hop/connection_set.py
@@ -72,7 +72,7 @@
 
     def make_room(self) -> bool:
         """Closes those connections that have been idle for longest."""
-        live = [each for each in self.open if not each.disconnected()]
+        live = [each for each in self.open if not each.closing()]
         if len(live) < self.most_open:
             return True
         idle = sorted(
--- a/src/lovageyoke/hop/server.py
+++ b/src/lovageyoke/hop/server.py
@@ -199,7 +199,7 @@
         self.stop_read_timer()
         self.discard_input()
         self.lingers = kind in BODY_REFUSALS
-        self.pipeline.add_response(answers.error_response(kind))
+        self.pipeline.add_response(answers.rejection(kind))
 
     def stop_accepting(self) -> None:
         """Closes the connection after the response to the last request."""
@@ -235,12 +235,12 @@
     # Internal methods
 
     def disconnected(self) -> bool:
+        """Returns whether nothing is written any more."""
+        return self.finished or self.closing()
+
+    def closing(self) -> bool:
         """Returns whether the connection is closed or closing."""
-        return (
-            self.transport is None
-            or self.finished
-            or self.transport.is_closing()
-        )
+        return self.transport is None or self.transport.is_closing()
 
     def idle(self) -> bool:
         """Returns whether no request is in progress or being received."""
--- a/tests/hop/test_server_memory.py
+++ b/tests/hop/test_server_memory.py
@@ -164,6 +164,28 @@
     client.close()
 
 
+async def test_a_caller_that_reads_slowly_stays_connected(
+    server: Server,
+) -> None:
+    server.response_bytes = 400_000
+    server.handler.caller_limits = attrs.evolve(LIMITS, idle_timeout_ms=800.0)
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    client.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(client, ("127.0.0.1", server.listener.port))
+    await loop.sock_sendall(client, GET * 20)
+    read_bytes = 0
+    end = loop.time() + 2.0
+    while loop.time() < end:
+        read_bytes += len(await loop.sock_recv(client, 20_000))
+        await asyncio.sleep(0.02)
+    assert_that(server.connections.open, matchers.HasLength(1))
+    # More than the socket's buffers held when the reading started.
+    assert_that(read_bytes, matchers.GreaterThan(100_000))
+    client.close()
+
+
 async def test_responses_that_wait_for_their_turn_are_counted(
     server: Server,
 ) -> None:
@@ -208,6 +230,16 @@
     assert_that(server.connections.refused, matchers.Equals(0))
 
 
+async def test_a_connection_that_discards_a_refused_body_makes_room(
+    server: Server,
+) -> None:
+    server.connections.most_open = 1
+    await server.open(post(10 * BODY_BYTES) + b"x" * 1_000)
+    reader, _ = await server.open(GET)
+    async with asyncio.timeout(TIMEOUT_S):
+        assert_that(await reader.readline(), matchers.Contains(b" 200 "))
+
+
 async def test_a_connection_is_refused_if_none_is_idle(server: Server) -> None:
     server.connections.most_open = 1
     server.released.clear()
