Limit the rate of requests to cold upstreams over the whole fleet

An upstream that gets more than its service's cold_per_s while it is cold crashes. The rate is a rate limit like a stated one, the lower one binds, and it goes through the same shares. As it must hold in a partition too, only processes of the upstream's own failure domain send, and processes that are gone keep their rank among them; there are so few senders that two groups which know nothing of each other stay within the bound.

Health responses tell of upstreams that become cold again; the statement travels in the rate limit reports of heartbeats with a fifth field. A service without cold_per_s is served as before.

additional_views compared each limited upstream with each one of the subset; with many cold upstreams that is the product of both, so it looks them up in a set now.

--- a/src/lovageyoke/explain/timeline.py
+++ b/src/lovageyoke/explain/timeline.py
@@ -14,7 +14,12 @@
 import attrs
 
 STATE_EVENTS = ("configuration", "upstreams", "store-lost", "store-regained")
-UPSTREAM_EVENTS = ("upstream-health", "upstream-silent", "rate-limit")
+UPSTREAM_EVENTS = (
+    "upstream-health",
+    "upstream-silent",
+    "upstream-cold",
+    "rate-limit",
+)
 
 
 @attrs.frozen
@@ -94,6 +99,8 @@
             latest[f"evacuation {other.fields.get('domain')}"] = other
         elif other.kind == "evacuation-ended":
             latest.pop(f"evacuation {other.fields.get('domain')}", None)
+        elif other.kind == "upstream-warm":
+            latest.pop("upstream-cold" + upstream, None)
         elif other.kind in UPSTREAM_EVENTS and upstream in steps:
             latest[other.kind + upstream] = other
     ordered = sorted(latest.values(), key=lambda each: each.wall_ms)
--- a/src/lovageyoke/fleet/codec.py
+++ b/src/lovageyoke/fleet/codec.py
@@ -12,6 +12,7 @@
 
 from lovageyoke.fleet import message_checks
 from lovageyoke.fleet import messages
+from lovageyoke.routing import model_checks
 from lovageyoke.schema import decoding
 
 FORMAT = 2
@@ -85,7 +86,7 @@
         [list(each) for each in message.waiting],
         [_state_fields(each) for each in message.members],
         [list(each) for each in message.domains],
-        [list(attrs.astuple(each)) for each in message.rate_limits],
+        [_rate_limit_fields(each) for each in message.rate_limits],
     ]
 
 
@@ -208,14 +209,26 @@
     )
 
 
+def _rate_limit_fields(report: messages.RateLimitReport) -> list[Any]:
+    fields = list(attrs.astuple(report))
+    return fields[:-1] if report.cold_ms is None else fields
+
+
 def _rate_limit(raw: list[Any]) -> messages.RateLimitReport:
-    upstream_id, started_ms, per_s, age_ms = raw
+    # Only reports of cold upstreams have a fifth field.
+    upstream_id, started_ms, per_s, age_ms, *cold = raw
     if per_s is not None:
         per_s = float(per_s)
         if not 0.0 <= per_s < math.inf:
             raise ValueError("rate limit out of range")
     return messages.RateLimitReport(
-        _text(upstream_id), decoding.integer(started_ms), per_s, _age(age_ms)
+        _text(upstream_id),
+        decoding.integer(started_ms),
+        per_s,
+        _age(age_ms),
+        decoding.integer(cold[0], 0, int(model_checks.MAX_COLD_MS))
+        if cold
+        else None,
     )
 
 
--- a/src/lovageyoke/fleet/members.py
+++ b/src/lovageyoke/fleet/members.py
@@ -313,9 +313,9 @@
                 for state in states
                 if domain != failure_domain
             ]
-        own_rank = _duty_rank(key, self.own)
+        own_rank = duty_rank(key, self.own)
         position = before + sum(
-            _duty_rank(key, state) < own_rank for state in group
+            duty_rank(key, state) < own_rank for state in group
         )
         return position if position < limit else None
 
@@ -352,7 +352,8 @@
         )
 
 
-def _duty_rank(key: str, state: messages.MemberState) -> tuple[int, str]:
+def duty_rank(key: str, state: messages.MemberState) -> tuple[int, str]:
+    """Returns the rank of a process for a duty; the lowest one is first."""
     node_id = state.peer.node_id
     return hash_of(key + "\0" + node_id), node_id
 
--- a/src/lovageyoke/fleet/messages.py
+++ b/src/lovageyoke/fleet/messages.py
@@ -88,19 +88,22 @@
 
 @attrs.frozen
 class RateLimitReport:
-    """A rate limit that an upstream has stated.
+    """A rate limit that an upstream has stated, or for how long it is cold.
 
     Attributes:
         upstream_id: The upstream.
         started_ms: Start time of the upstream, as in its entry.
         per_s: Requests per second from all processes, None for no limit.
         age_ms: Age of the statement when it is sent.
+        cold_ms: Time for which the upstream was still cold when it stated
+            that; None if the report is of a rate limit.
     """
 
     upstream_id: str
     started_ms: int
     per_s: float | None
     age_ms: int
+    cold_ms: int | None = None
 
 
 @attrs.frozen
--- a/src/lovageyoke/node/assembly.py
+++ b/src/lovageyoke/node/assembly.py
@@ -78,6 +78,7 @@
         ),
         decode_load=headers.decode_load,
         decode_rate_limit=headers.decode_rate_limit,
+        decode_cold_time=headers.decode_cold_time,
         members=fleet_members.Members(fleet_messages.MemberState(own)),
     )
     store = store_client.StoreClient(settings.store.host, settings.store.port)
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -356,4 +356,9 @@
         for report in message.reports:
             self.node.reports.record_peer_report(report, now_ms, is_local)
         for limit in message.rate_limits:
-            self.node.rate_limiter.record_peer_report(limit, now_ms, is_local)
+            limits = (
+                self.node.rate_limiter
+                if limit.cold_ms is None
+                else self.node.cold_starts
+            )
+            limits.record_peer_report(limit, now_ms, is_local)
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -117,6 +117,7 @@
             ),
             "requests_waiting": waiting,
             "upstreams_rate_limited": self.node.rate_limiter.limited_count(),
+            "upstreams_cold": self.node.cold_starts.cold_count(),
             "ready": self.node.ready,
             "collecting": self.node.members.collecting_since_ms is not None,
             "period_ms": self.node.period_ms,
--- a/src/lovageyoke/node/prober.py
+++ b/src/lovageyoke/node/prober.py
@@ -15,6 +15,7 @@
 
 SLOT_CHECK_PERIOD_MS = 1_000.0  # For upstreams whose health check uses a slot.
 RATE_LIMITED_PERIOD_MS = 1_000.0  # For upstreams that accept few requests.
+COLD_PERIOD_MS = 250.0  # For cold upstreams, which are cold for seconds.
 MAX_SUSPECT_PERIOD_MS = 200.0  # For silent or unhealthy upstreams.
 POLL_INTERVAL_MS = 100.0  # At which a task looks whether its check is due.
 MIN_PERIOD_CHANGE = 0.2  # Smaller relative changes of the period are ignored.
@@ -141,6 +142,8 @@
         period_ms = self.periods_ms.get(service, MAX_HEARTBEAT_MS)
         if view.report is None or view.report.slowdown is None:
             return self.node.until_period_ms(SLOT_CHECK_PERIOD_MS)
+        if view.is_cold_limited():
+            return self.node.until_period_ms(COLD_PERIOD_MS)
         if view.is_rate_limited():
             return self.node.until_period_ms(RATE_LIMITED_PERIOD_MS)
         if view.unanswered_probes or view.unhealthy:
@@ -268,6 +271,11 @@
         report = self.node.decode_load(response.header(names.load))
         if report is not None:
             self.node.reports.record_report(view, report, now_ms)
+        self.node.cold_starts.record_check(
+            view,
+            self.node.decode_cold_time(response.header(names.cold_time_left)),
+            sent_ms,
+        )
         self.node.rate_limiter.record_response(
             view, response.headers, sent_ms, rate_limit.Source.HEALTH_CHECK
         )
--- a/src/lovageyoke/node/rate_limiter.py
+++ b/src/lovageyoke/node/rate_limiter.py
@@ -1,20 +1,26 @@
-"""Keeps requests within the rates that upstreams accept from the fleet."""
+"""Keeps requests within the rates that upstreams accept from the fleet.
+
+An upstream states its rate, or has that of its service while it is cold (see
+``cold_starts``).
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from collections.abc import Collection
-import math
 import random
 
 from lovageyoke.clock import api as clock_api
 from lovageyoke.errors import exceptions
+from lovageyoke.fleet import domain_rank
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages as fleet_messages
 from lovageyoke.fleet import transmissions
 from lovageyoke.hop import messages as hop_messages
+from lovageyoke.node import limit_reports
 from lovageyoke.node import report_exchange
 from lovageyoke.observe import events
+from lovageyoke.routing import cold_rate
 from lovageyoke.routing import load_view
 from lovageyoke.routing import rate_limit
 from lovageyoke.routing import rate_share
@@ -24,7 +30,6 @@
 # An unchanged limit is sent again after this time, so that peers can order it
 # among older statements.
 REFRESH_MS = 1_000.0
-REPEAT_ENDED_MS = 60_000.0  # How long the end of a limit is repeated.
 SETTLED_MS = 10_000.0  # After this time all peers know this process.
 MS_PER_SECOND = 1_000.0
 
@@ -44,7 +49,10 @@
         request_heartbeat: Requests a heartbeat at once; the argument tells
             whether the other failure domains need it too.
         started_ms: When this process started.
-        views: The upstreams that have stated a limit, by id.
+        cold_over: Multiple of a cold upstream's rate that it may get in one
+            second.
+        cold_slack: Requests that it may get in one second in addition.
+        views: The upstreams that have a limit or have stated one, by id.
         malformed: Ids of the upstreams whose last limit was malformed.
         local_updates: Selects the limits to send in the own failure domain.
         remote_updates: The same for the other failure domains.
@@ -71,6 +79,8 @@
         self.loads = loads
         self.request_heartbeat = request_heartbeat
         self.started_ms = clock.now_ms()
+        self.cold_over = 1.5
+        self.cold_slack = 8.0
         self.views: dict[str, load_view.UpstreamView] = {}
         self.malformed: set[str] = set()
         self.local_updates = transmissions.TransmissionQueue()
@@ -100,7 +110,8 @@
         except exceptions.DecodeError as error:
             self.log_malformed(view, error)
             return
-        if per_s is None and view.rate_limit is None:
+        limit = view.rate_limit
+        if per_s is None and (limit is None or not limit.was_stated):
             return
         self.malformed.discard(view.upstream.upstream_id)
         limit = self.limit_of(view)
@@ -156,7 +167,7 @@
             is_local: Whether the other failure domains need it.
         """
         limit = self.limit_of(view)
-        changed = limit.per_s != before.per_s
+        changed = limit.statement.per_s != before.per_s
         if changed:
             self.changes += 1
             self.log_change(view, before, source)
@@ -205,24 +216,17 @@
             repeated = [
                 upstream_id
                 for upstream_id, view in self.views.items()
-                if is_repeated(view, now_ms)
+                if limit_reports.is_repeated(view, now_ms)
             ]
             upstream_ids.extend(
                 queue.take_round_robin(repeated, ROUND_ROBIN_LIMITS)
             )
         found = (self.views.get(each) for each in upstream_ids)
-        return tuple(self.report(each, now_ms) for each in found if each)
-
-    def report(
-        self, view: load_view.UpstreamView, now_ms: float
-    ) -> fleet_messages.RateLimitReport:
-        """Returns the limit of an upstream for a message."""
-        statement = self.limit_of(view).statement
-        return fleet_messages.RateLimitReport(
-            view.upstream.upstream_id,
-            view.upstream.started_ms,
-            statement.per_s,
-            age_ms(statement, now_ms),
+        return tuple(
+            report
+            for view in found
+            if view
+            for report in limit_reports.reports_of(view, now_ms)
         )
 
     # Shares
@@ -251,7 +255,17 @@
         """Recomputes this process's share of one limit."""
         limit = self.limit_of(view)
         interval_ms = None
-        if limit.per_s is not None:
+        if limit.per_s is not None and limit.cold_per_s is not None:
+            position, near = domain_rank.position(
+                self.members,
+                view.upstream.upstream_id,
+                view.upstream.failure_domain,
+            )
+            most = self.cold_over * limit.cold_per_s + self.cold_slack
+            interval_ms = cold_rate.interval_ms(
+                limit.per_s, position, near, most
+            )
+        elif limit.per_s is not None:
             position = self.members.duty_position(
                 view.upstream.upstream_id,
                 view.upstream.failure_domain,
@@ -280,11 +294,14 @@
             service: The service.
             views: The subset of this process.
         """
+        limited = self.limited(service)
+        if not limited:
+            return []
+        in_subset = {id(each) for each in views}
         return [
             each
-            for each in self.limited(service)
-            if self.limit_of(each).is_sender
-            and not any(each is other for other in views)
+            for each in limited
+            if self.limit_of(each).is_sender and id(each) not in in_subset
         ]
 
     def limited(self, service: str) -> list[load_view.UpstreamView]:
@@ -301,7 +318,8 @@
         """Returns the limits of a service's upstreams for a request's log."""
         now_ms = self.clock.now_ms()
         return [
-            f"rate-limited {each.upstream.upstream_id}"
+            f"{'cold' if each.is_cold_limited() else 'rate-limited'}"
+            f" {each.upstream.upstream_id}"
             f" wait={each.rate_wait_ms(now_ms):.0f}"
             for each in self.limited(service)
         ]
@@ -325,9 +343,9 @@
         return MS_PER_SECOND / max(sum(known), rate_share.MIN_PER_S)
 
     def limited_count(self) -> int:
-        """Returns the number of upstreams with a limit."""
+        """Returns the number of upstreams that state a limit."""
         return sum(
-            self.limit_of(each).per_s is not None
+            self.limit_of(each).statement.per_s is not None
             for each in self.views.values()
         )
 
@@ -348,7 +366,7 @@
             per_s=statement.per_s,
             before_per_s=before.per_s,
             source=source.value,
-            age_ms=age_ms(statement, self.clock.now_ms()),
+            age_ms=limit_reports.age_ms(statement, self.clock.now_ms()),
         )
 
     def log_malformed(
@@ -363,19 +381,3 @@
                 upstream=upstream_id,
                 detail=str(error),
             )
-
-
-def age_ms(statement: rate_limit.Statement, now_ms: float) -> int:
-    """Returns the age of a statement, 0 if nothing was stated."""
-    if math.isinf(statement.stated_ms):
-        return 0
-    return max(0, round(now_ms - statement.stated_ms))
-
-
-def is_repeated(view: load_view.UpstreamView, now_ms: float) -> bool:
-    """Returns whether collectors keep sending the limit of an upstream."""
-    limit = view.rate_limit
-    if limit is None:
-        return False
-    ended = limit.per_s is None
-    return not ended or now_ms - limit.statement.stated_ms < REPEAT_ENDED_MS
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -12,6 +12,7 @@
 from lovageyoke.hop import attempt as hop_attempt
 from lovageyoke.limits import admission_queue as limits_queue
 from lovageyoke.limits import shutdown
+from lovageyoke.node import cold_starts
 from lovageyoke.node import rate_limiter
 from lovageyoke.node import report_exchange
 from lovageyoke.node import settings as node_settings
@@ -34,6 +35,7 @@
 
 DecodeLoad = Callable[[bytes | None], load_view.LoadReport | None]
 DecodeDeadline = Callable[[bytes | None], float | None]
+DecodeColdTime = Callable[[bytes | None], float | None]
 
 
 class NodeState:
@@ -46,9 +48,11 @@
         log: The event log.
         client: Sends requests to upstreams.
         decode_load: Decodes the load report in a response's header.
+        decode_cold_time: Decodes for how long an upstream is still cold.
         members: The processes of the fleet.
         loads: Load views of the upstreams.
         rate_limiter: Rate limits of the upstreams.
+        cold_starts: Limits the rate of cold upstreams.
         work: Work estimates of routes and services.
         table: The routes, None before a configuration is known.
         configuration: The current configuration.
@@ -84,6 +88,7 @@
         client: hop_attempt.UpstreamClient,
         decode_load: DecodeLoad,
         decode_rate_limit: rate_limiter.DecodeRateLimit,
+        decode_cold_time: DecodeColdTime,
         members: fleet_members.Members,
     ) -> None:
         self.settings = settings
@@ -92,6 +97,7 @@
         self.log = log
         self.client = client
         self.decode_load = decode_load
+        self.decode_cold_time = decode_cold_time
         self.members = members
         self.loads = load_view.LoadView()
         self.rate_limiter = rate_limiter.RateLimiter(
@@ -103,6 +109,9 @@
             loads=self.loads,
             request_heartbeat=self.request_heartbeat,
         )
+        self.rate_limiter.cold_over = settings.bounds.cold_over
+        self.rate_limiter.cold_slack = settings.bounds.cold_slack
+        self.cold_starts = cold_starts.ColdStarts(self.rate_limiter)
         self.work = work_estimate.WorkEstimates()
         self.table: route_table.RouteTable | None = None
         self.configuration: model.Configuration | None = None
@@ -149,6 +158,8 @@
         """Applies reloaded settings."""
         self.settings = settings
         bounds = settings.bounds
+        self.rate_limiter.cold_over = bounds.cold_over
+        self.rate_limiter.cold_slack = bounds.cold_slack
         for budget in self.retry_budgets.values():
             budget.set_bounds(
                 bounds.budget_ratio,
@@ -164,6 +175,7 @@
         names = {each.name for each in configuration.routes}
         self.work.keep_only(names)
         self.caller_waits.keep_only(names)
+        self.cold_starts.apply_services(configuration.services)
 
     def apply_upstreams(self, upstreams: list[model.Upstream]) -> None:
         """Applies a new list of upstreams."""
@@ -172,6 +184,7 @@
         self.upstreams_known = True
         for upstream_id in before - set(self.loads.by_id):
             self.reports.drop(upstream_id)
+        self.cold_starts.apply_entries()
         self.rate_limiter.forget_removed()
 
     @property
--- a/src/lovageyoke/node/upstream_selector.py
+++ b/src/lovageyoke/node/upstream_selector.py
@@ -56,7 +56,9 @@
         """Returns the upstreams that this process may use."""
         node = self.node
         limiter = node.rate_limiter
-        limiter.update_shares(node.clock.now_ms())
+        now_ms = node.clock.now_ms()
+        node.cold_starts.expire(now_ms)
+        limiter.update_shares(now_ms)
         subset = node.subset(self.service)
         additional = limiter.additional_views(self.service, subset)
         return subset + additional if additional else subset
--- a/src/lovageyoke/platform/headers.py
+++ b/src/lovageyoke/platform/headers.py
@@ -9,6 +9,7 @@
 from lovageyoke.hop import messages
 from lovageyoke.hop import names
 from lovageyoke.routing import load_view
+from lovageyoke.routing import model_checks
 
 USUAL_PACE_PERCENT = 100.0
 MIN_LOAD_FIELDS = 3
@@ -75,6 +76,17 @@
     return float(text)
 
 
+def decode_cold_time(value: bytes | None) -> float | None:
+    """Decodes for how long an upstream is still cold, in ms.
+
+    Returns:
+        The time, 0 if it isn't cold, None if it is absent or malformed.
+    """
+    if value is None or _DECIMAL.fullmatch(value.strip()) is None:
+        return None
+    return min(float(value), model_checks.MAX_COLD_MS)
+
+
 def decode_deadline(value: bytes | None) -> float | None:
     """Decodes the time left until the deadline in ms, None if absent."""
     if value is None:
--- a/src/lovageyoke/routing/load_view.py
+++ b/src/lovageyoke/routing/load_view.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from lovageyoke.routing import cold_state
 from lovageyoke.routing import model
 from lovageyoke.routing import rate_limit as routing_rate_limit
 
@@ -57,7 +58,9 @@
         unhealthy: Whether its health check reports a failure.
         sent_slowdown: Slowdown last sent to the other processes.
         unanswered_probes: Consecutive health checks without an answer.
-        rate_limit: The rate limit, None if the upstream never stated one.
+        rate_limit: The rate limit, None if the upstream never stated one and
+            isn't cold.
+        cold: For how long it is cold, None if it hasn't been.
     """
 
     upstream: model.Upstream
@@ -72,6 +75,14 @@
     sent_slowdown: float = 1.0
     unanswered_probes: int = 0
     rate_limit: routing_rate_limit.RateLimit | None = None
+    cold: cold_state.ColdState | None = None
+
+    def record_entry(self, upstream: model.Upstream, now_ms: float) -> None:
+        """Records for how long the upstream is cold by its entry."""
+        if upstream.cold_ms > 0.0:
+            if self.cold is None:
+                self.cold = cold_state.ColdState()
+            self.cold.apply_entry(upstream.cold_ms, now_ms)
 
     def apply_report(
         self,
@@ -140,6 +151,12 @@
             self.rate_limit.per_s is not None
         )
 
+    def is_cold_limited(self) -> bool:
+        """Returns whether the upstream has a rate limit as it is cold."""
+        return self.rate_limit is not None and (
+            self.rate_limit.cold_per_s is not None
+        )
+
     def record_send(self, now_ms: float) -> None:
         """Records that this process sends a request to the upstream."""
         self.own_in_flight += 1
@@ -222,9 +239,15 @@
         view = service.upstreams.get(upstream.key)
         if view is None:
             view = UpstreamView(upstream, now_ms)
+            view.record_entry(upstream, now_ms)
             service.upstreams[upstream.key] = view
         elif view.upstream != upstream:
-            view.upstream = upstream
+            before, view.upstream = view.upstream, upstream
+            if (before.sequence, before.cold_ms) != (
+                upstream.sequence,
+                upstream.cold_ms,
+            ):
+                view.record_entry(upstream, now_ms)
         self.by_id[upstream.upstream_id] = view
 
     def of_service(self, name: str) -> list[UpstreamView]:
--- a/src/lovageyoke/routing/rate_limit.py
+++ b/src/lovageyoke/routing/rate_limit.py
@@ -45,6 +45,8 @@
 
     Attributes:
         statement: The newest statement.
+        cold_per_s: The rate that holds while the upstream is cold, None if it
+            isn't.
         share: The share of this process.
         queued_ms: When the statement last queued for the peers was received.
         in_health_checks: Whether the upstream states limits in the responses
@@ -54,13 +56,22 @@
 
     statement: Statement = Statement(None, -math.inf)
     in_health_checks: bool = False
+    cold_per_s: float | None = None
     share: rate_share.RateShare = attrs.field(factory=rate_share.RateShare)
     queued_ms: float = -math.inf
 
     @property
     def per_s(self) -> float | None:
-        """The limit, None if there is none."""
-        return self.statement.per_s
+        """The limit, None if there is none; the lower one if there are two."""
+        stated = self.statement.per_s
+        if stated is None or self.cold_per_s is None:
+            return self.cold_per_s if stated is None else stated
+        return min(stated, self.cold_per_s)
+
+    @property
+    def was_stated(self) -> bool:
+        """Whether the upstream has stated a limit, or that one has ended."""
+        return math.isfinite(self.statement.stated_ms)
 
     @property
     def is_sender(self) -> bool:
@@ -95,7 +106,7 @@
                 return False
         elif is_check:
             self.in_health_checks = True
-        changed = per_s != self.per_s
+        changed = per_s != self.statement.per_s
         self.statement = Statement(per_s, now_ms)
         return changed
 
--- a/tests/explain/test_timeline.py
+++ b/tests/explain/test_timeline.py
@@ -66,6 +66,28 @@
     assert_that(found[:-1], matchers.Equals([believed]))
 
 
+def test_a_timeline_shows_whether_an_upstream_was_cold() -> None:
+    log = [
+        line(100, "n1", "upstream-cold", upstream="u1", cold_ms=90),
+        line(110, "n1", "upstream-cold", upstream="u2", cold_ms=90),
+        line(200, "n1", "upstream-warm", upstream="u2"),
+        line(
+            300,
+            "n1",
+            "request",
+            request="r1",
+            outcome="overloaded",
+            story=["cold u1 wait=700", "send u2 at=0"],
+        ),
+    ]
+    found = timeline.explain(timeline.parse(log), "r1")
+    believed = (
+        "  believed for 200 ms: 100 n1 upstream-cold upstream=u1 cold_ms=90"
+    )
+    assert_that(found[0], matchers.Equals(believed))
+    assert_that(found[1], matchers.Contains("n1 request"))
+
+
 def test_an_unknown_request_is_reported() -> None:
     (found,) = timeline.explain(timeline.parse(LOG), "r2")
     assert_that(found, matchers.Contains("no line"))
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -97,6 +97,7 @@
             ),
             decode_load=headers.decode_load,
             decode_rate_limit=headers.decode_rate_limit,
+            decode_cold_time=headers.decode_cold_time,
             members=fleet_members.Members(messages.MemberState(own)),
         )
         self.node.period_ms = self.fleet.period_ms
--- a/tests/fakes/platform_upstream.py
+++ b/tests/fakes/platform_upstream.py
@@ -25,6 +25,8 @@
         load: The reported load header value.
         limits: The rate limit headers of responses to requests.
         limits_checks: Whether responses to health checks carry them too.
+        cold_left: For how long it is cold by its health checks, in ms; None
+            to leave it out.
     """
 
     def __init__(self, upstream_id: str) -> None:
@@ -38,10 +40,11 @@
         self.load = b"0,0,6,100"
         self.limits: list[bytes] = []
         self.limits_checks = False
+        self.cold_left: bytes | None = None
         self.handler = handlers.Handler(self.respond)
         self.listener = handlers.Listener(self.handler)
 
-    def entry(self, state: str = "ready") -> bytes:
+    def entry(self, state: str = "ready", cold_remaining: str = "0ms") -> bytes:
         return json.dumps(
             {
                 "service": "maps",
@@ -50,7 +53,7 @@
                 "version": "v1",
                 "slots": 6,
                 "state": state,
-                "cold_remaining": "0ms",
+                "cold_remaining": cold_remaining,
                 "sequence": 1,
             }
         ).encode()
@@ -94,6 +97,8 @@
             (b"x-backend-load", self.load),
             *headers,
         ]
+        if identity is None and self.cold_left is not None:
+            all_headers.append((b"x-cold-remaining-ms", self.cold_left))
         if identity is not None or self.limits_checks:
             all_headers.extend((b"server-limit", each) for each in self.limits)
         if identity is not None:
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -71,6 +71,7 @@
             started_ms=st.integers(0, 2**48),
             per_s=st.none() | st.floats(0.0, 1e9),
             age_ms=st.integers(0, 600_000),
+            cold_ms=st.none() | st.integers(0, 86_400_000),
         ),
         max_size=3,
     ).map(tuple),
--- a/tests/node/test_overload.py
+++ b/tests/node/test_overload.py
@@ -148,6 +148,7 @@
             client=self.client,
             decode_load=headers.decode_load,
             decode_rate_limit=headers.decode_rate_limit,
+            decode_cold_time=headers.decode_cold_time,
             members=members.Members(
                 fleet_messages.MemberState(
                     fleet_messages.Peer(
--- a/tests/node/test_reports.py
+++ b/tests/node/test_reports.py
@@ -40,6 +40,7 @@
         ),
         decode_load=headers.decode_load,
         decode_rate_limit=headers.decode_rate_limit,
+        decode_cold_time=headers.decode_cold_time,
         members=fleet_members.Members(messages.MemberState(own)),
     )
     created.apply_upstreams(
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -17,7 +17,7 @@
 ADAPTER_IMPORT = re.compile(r"lovageyoke\.platform|lovageyoke import platform")
 WIRE_NAMES = re.compile(
     r"x-(?:request-id|deadline-ms|expected-instance|instance-id"
-    r"|backend-load|not-executed|response-signature)"
+    r"|backend-load|cold-remaining-ms|not-executed|response-signature)"
     r"|kv-(?:key|range|watch|txn|lease|keep)"
     r"|traffic_split|rule_set|cold_remaining|has_more|is_stale"
     r"|op/config|op/evacuate|/readiness|/resolve|LOVAGEYOKE_NODE_FILE",
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -74,3 +74,25 @@
     twice = [(b"server-limit", b"2"), (b"server-limit", b"2")]
     with pytest.raises(exceptions.DecodeError):
         headers.decode_rate_limit(twice)
+
+
+@pytest.mark.parametrize(
+    ("value", "cold_ms"),
+    [
+        (b"0", 0.0),
+        (b" 2873 ", 2_873.0),
+        (b"12.5", 12.5),
+        (b"999999999", 86_400_000.0),
+        (None, None),
+        (b"", None),
+        (b"-1", None),
+        (b"inf", None),
+        (b"1e400", None),
+        (b"3s", None),
+    ],
+)
+def test_the_cold_time_is_decoded_or_ignored(
+    value: bytes | None, cold_ms: float | None
+) -> None:
+    found = headers.decode_cold_time(value)
+    assert_that(found, matchers.Equals(cold_ms))
