Keep positions at cold upstreams while the processes are the same

A health response that was sent before an entry was read no longer shortens the cold time of that entry: the upstream may have become cold in between. Evacuated upstreams no longer count among those that share a service's load, so fewer processes pick the same free slot.

--- a/src/lovageyoke/fleet/members.py
+++ b/src/lovageyoke/fleet/members.py
@@ -313,9 +313,9 @@
                 for state in states
                 if domain != failure_domain
             ]
-        own_rank = duty_rank(key, self.own)
+        own_rank = duty_rank(key, self.own.peer.node_id)
         position = before + sum(
-            duty_rank(key, state) < own_rank for state in group
+            duty_rank(key, state.peer.node_id) < own_rank for state in group
         )
         return position if position < limit else None
 
@@ -352,9 +352,8 @@
         )
 
 
-def duty_rank(key: str, state: messages.MemberState) -> tuple[int, str]:
+def duty_rank(key: str, node_id: str) -> tuple[int, str]:
     """Returns the rank of a process for a duty; the lowest one is first."""
-    node_id = state.peer.node_id
     return hash_of(key + "\0" + node_id), node_id
 
 
--- a/src/lovageyoke/node/cold_starts.py
+++ b/src/lovageyoke/node/cold_starts.py
@@ -210,6 +210,7 @@
     def forget(self, upstream_id: str, view: load_view.UpstreamView) -> None:
         """Forgets an upstream that hasn't been cold for some time."""
         del self.tracked[upstream_id]
+        self.limiter.domain_ranks.positions.pop(upstream_id, None)
         self.queued_ms.pop(upstream_id, None)
         limit = view.rate_limit
         if limit is not None and not limit.was_stated:
--- a/src/lovageyoke/node/rate_limiter.py
+++ b/src/lovageyoke/node/rate_limiter.py
@@ -57,6 +57,7 @@
         local_updates: Selects the limits to send in the own failure domain.
         remote_updates: The same for the other failure domains.
         changes: Counter of changed limits.
+        domain_ranks: Ranks the processes that may send to cold upstreams.
         share_inputs: What the current shares were computed from.
     """
 
@@ -86,6 +87,7 @@
         self.local_updates = transmissions.TransmissionQueue()
         self.remote_updates = transmissions.TransmissionQueue()
         self.changes = 0
+        self.domain_ranks = domain_rank.DomainRanks(members)
         self.share_inputs: tuple[object, ...] = ()
 
     # Statements
@@ -256,14 +258,12 @@
         limit = self.limit_of(view)
         interval_ms = None
         if limit.per_s is not None and limit.cold_per_s is not None:
-            position, near = domain_rank.position(
-                self.members,
-                view.upstream.upstream_id,
-                view.upstream.failure_domain,
+            position = self.domain_ranks.position(
+                view.upstream.upstream_id, view.upstream.failure_domain
             )
             most = self.cold_over * limit.cold_per_s + self.cold_slack
             interval_ms = cold_rate.interval_ms(
-                limit.per_s, position, near, most
+                limit.per_s, position, self.domain_ranks.size, most
             )
         elif limit.per_s is not None:
             position = self.members.duty_position(
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -68,6 +68,7 @@
         peak_lag_ms: Recent peak lag of the event loop.
         started_ms: When this process started.
         subsets: The upstreams that this process uses, by service.
+        upstream_counts: Number of upstreams that aren't evacuated, by service.
         subsets_version: Version of the list of upstreams of ``subsets``.
         heartbeat_requested: Set when a heartbeat should be sent at once.
         remote_heartbeat_requested: The same for the other failure domains.
@@ -128,6 +129,7 @@
         self.peak_lag_ms = 0.0
         self.started_ms = clock.now_ms()
         self.subsets: dict[str, list[load_view.UpstreamView]] = {}
+        self.upstream_counts: dict[str, int] = {}
         self.subsets_version = 0
         self.heartbeat_requested = asyncio.Event()
         self.remote_heartbeat_requested = False
@@ -214,17 +216,18 @@
         found = self.subsets.get(service)
         if found is None:
             own = self.members.own.peer
-            found = subset.choose(
-                self.loads.of_service(service),
-                own.node_id,
-                own.failure_domain,
-            )
+            views = self.loads.of_service(service)
+            found = subset.choose(views, own.node_id, own.failure_domain)
             self.subsets[service] = found
+            self.upstream_counts[service] = sum(
+                not each.upstream.evacuated for each in views
+            )
         return found
 
     def upstream_count(self, service: str) -> int:
-        """Returns the total number of upstreams of a service."""
-        return len(self.loads.of_service(service))
+        """Returns how many upstreams of a service aren't evacuated."""
+        self.subset(service)
+        return self.upstream_counts[service]
 
     def processes_waiting(self, service: str, now_ms: float) -> int:
         """Returns the number of processes with queued requests of a service."""
--- a/src/lovageyoke/routing/cold_state.py
+++ b/src/lovageyoke/routing/cold_state.py
@@ -63,23 +63,23 @@
         Args:
             cold_ms: The time left in the response, 0 if it isn't cold.
             sent_ms: When the check was sent. The response may be older than a
-                statement that was received in the meantime.
+                statement or an entry that was received in the meantime.
             now_ms: When the response was received.
 
         Returns:
             Whether the other processes have to know.
         """
         was_cold = self.is_cold(now_ms)
-        if cold_ms <= 0.0:
-            if not was_cold or sent_ms < self.stated_ms:
-                return False
-        elif was_cold:
-            later_ms = now_ms + cold_ms - self.end_ms
-            if abs(later_ms) < END_TOLERANCE_MS:
-                if later_ms > 0.0:
-                    self.entry_ms = now_ms
-                    self.entry_end_ms = now_ms + cold_ms
-                return False
+        later_ms = now_ms + cold_ms - self.end_ms
+        if later_ms < 0.0 and sent_ms < max(self.stated_ms, self.entry_ms):
+            return False
+        if cold_ms <= 0.0 and not was_cold:
+            return False
+        if cold_ms > 0.0 and was_cold and abs(later_ms) < END_TOLERANCE_MS:
+            if later_ms > 0.0:
+                self.entry_ms = now_ms
+                self.entry_end_ms = now_ms + cold_ms
+            return False
         self.stated_ms = now_ms
         self.cold_ms = float(math.ceil(max(0.0, cold_ms)))
         return True
--- a/tests/routing/test_cold_state.py
+++ b/tests/routing/test_cold_state.py
@@ -48,6 +48,16 @@
     assert_that(state.is_cold(3_000.0), matchers.Equals(True))
 
 
+def test_a_response_older_than_an_entry_does_not_end_the_time() -> None:
+    # Guards against a check in flight while the upstream becomes cold again.
+    state = cold_state.ColdState()
+    state.apply_entry(3_000.0, 100.0)
+    for cold_ms in (0.0, 50.0):
+        late = state.apply_check(cold_ms, sent_ms=90.0, now_ms=120.0)
+        assert_that(late, matchers.Equals(False))
+    assert_that(state.end_ms, matchers.Equals(3_100.0))
+
+
 def test_an_entry_read_late_does_not_hide_a_longer_statement() -> None:
     # Guards against ordering by when an entry was read: it may be old.
     state = cold_state.ColdState()
