--- a/src/lovageyoke/explain/timeline.py
+++ b/src/lovageyoke/explain/timeline.py
@@ -15,7 +15,12 @@
 
 STATE_EVENTS = ("configuration", "upstreams", "store-lost", "store-regained")
 ACCOUNT_EVENTS = ("quota-limited", "quota-limiting-ended")
-UPSTREAM_EVENTS = ("upstream-health", "upstream-silent", "rate-limit")
+UPSTREAM_EVENTS = (
+    "upstream-health",
+    "upstream-silent",
+    "upstream-cold",
+    "rate-limit",
+)
 
 
 @attrs.frozen
@@ -98,6 +103,8 @@
         elif other.kind in ACCOUNT_EVENTS:
             if other.fields.get("account") == event.fields.get("account"):
                 latest["quota"] = other
+        elif other.kind == "upstream-warm":
+            latest.pop("upstream-cold" + upstream, None)
         elif other.kind in UPSTREAM_EVENTS and upstream in steps:
             latest[other.kind + upstream] = other
     ordered = sorted(latest.values(), key=lambda each: each.wall_ms)
--- a/src/lovageyoke/fleet/members.py
+++ b/src/lovageyoke/fleet/members.py
@@ -334,9 +334,9 @@
                 for state in states
                 if domain != failure_domain
             ]
-        own_rank = _duty_rank(key, self.own)
+        own_rank = duty_rank(key, self.own.peer.node_id)
         position = before + sum(
-            _duty_rank(key, state) < own_rank for state in group
+            duty_rank(key, state.peer.node_id) < own_rank for state in group
         )
         return position if position < limit else None
 
@@ -369,8 +369,8 @@
         return self.by_domain.get(domain, {}).values()
 
 
-def _duty_rank(key: str, state: messages.MemberState) -> tuple[int, str]:
-    node_id = state.peer.node_id
+def duty_rank(key: str, node_id: str) -> tuple[int, str]:
+    """Returns the rank of a process for a duty; the lowest one is first."""
     return hash_of(key + "\0" + node_id), node_id
 
 
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -368,5 +368,10 @@
         is_local = sender.failure_domain == members.domain
         self.node.reports.record_peer_reports(message.reports, now_ms, is_local)
         for limit in message.rate_limits:
-            self.node.rate_limiter.record_peer_report(limit, now_ms, is_local)
+            limits = (
+                self.node.rate_limiter
+                if limit.cold_ms is None
+                else self.node.cold_starts
+            )
+            limits.record_peer_report(limit, now_ms, is_local)
         self.node.quotas.exchange.receive(message, now_ms, is_local)
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -14,6 +14,7 @@
 from lovageyoke.limits import quota
 from lovageyoke.limits import shared_capacity
 from lovageyoke.limits import shutdown
+from lovageyoke.node import cold_starts
 from lovageyoke.node import quota_limiter
 from lovageyoke.node import rate_limiter
 from lovageyoke.node import report_exchange
@@ -38,6 +39,7 @@
 
 DecodeLoad = Callable[[bytes | None], load_view.LoadReport | None]
 DecodeDeadline = Callable[[bytes | None], float | None]
+DecodeColdTime = Callable[[bytes | None], float | None]
 
 
 class NodeState:
@@ -50,10 +52,12 @@
         log: The event log.
         client: Sends requests to upstreams.
         decode_load: Decodes the load report in a response's header.
+        decode_cold_time: Decodes for how long an upstream is still cold.
         members: The processes of the fleet.
         loads: Load views of the upstreams.
         rate_limiter: Rate limits of the upstreams.
         quotas: Fleet-wide quotas of the client accounts.
+        cold_starts: Limits the rate of cold upstreams.
         work: Work estimates of routes and services.
         table: The routes, None before a configuration is known.
         accounts: The client accounts, None if callers need none.
@@ -70,6 +74,7 @@
         peak_lag_ms: Recent peak lag of the event loop.
         started_ms: When this process started.
         subsets: The upstreams that this process uses, by service.
+        upstream_counts: Number of upstreams that aren't evacuated, by service.
         subsets_version: Version of the list of upstreams of ``subsets``.
         heartbeat_requested: Set when a heartbeat should be sent at once.
         remote_heartbeat_requested: The same for the other failure domains.
@@ -90,6 +95,7 @@
         client: hop_attempt.UpstreamClient,
         decode_load: DecodeLoad,
         decode_rate_limit: rate_limiter.DecodeRateLimit,
+        decode_cold_time: DecodeColdTime,
         members: fleet_members.Members,
     ) -> None:
         self.settings = settings
@@ -98,6 +104,7 @@
         self.log = log
         self.client = client
         self.decode_load = decode_load
+        self.decode_cold_time = decode_cold_time
         self.members = members
         self.loads = load_view.LoadView()
         self.rate_limiter = rate_limiter.RateLimiter(
@@ -118,6 +125,9 @@
             period_ms=lambda: self.period_ms,
             tolerance=tolerance_of(settings.bounds),
         )
+        self.rate_limiter.cold_over = settings.bounds.cold_over
+        self.rate_limiter.cold_slack = settings.bounds.cold_slack
+        self.cold_starts = cold_starts.ColdStarts(self.rate_limiter)
         self.work = work_estimate.WorkEstimates()
         self.table: route_table.RouteTable | None = None
         self.accounts: account_table.AccountTable | None = None
@@ -135,6 +145,7 @@
         self.peak_lag_ms = 0.0
         self.started_ms = clock.now_ms()
         self.subsets: dict[str, list[load_view.UpstreamView]] = {}
+        self.upstream_counts: dict[str, int] = {}
         self.subsets_version = 0
         self.heartbeat_requested = asyncio.Event()
         self.remote_heartbeat_requested = False
@@ -166,6 +177,8 @@
         self.settings = settings
         bounds = settings.bounds
         self.quotas.set_tolerance(tolerance_of(bounds))
+        self.rate_limiter.cold_over = bounds.cold_over
+        self.rate_limiter.cold_slack = bounds.cold_slack
         for budget in self.retry_budgets.values():
             budget.set_bounds(
                 bounds.budget_ratio,
@@ -187,6 +200,7 @@
         names = {each.name for each in configuration.routes}
         self.work.keep_only(names)
         self.caller_waits.keep_only(names)
+        self.cold_starts.apply_services(configuration.services)
 
     def apply_upstreams(self, upstreams: list[model.Upstream]) -> None:
         """Applies a new list of upstreams."""
@@ -195,6 +209,7 @@
         self.upstreams_known = True
         for upstream_id in before - set(self.loads.by_id):
             self.reports.drop(upstream_id)
+        self.cold_starts.apply_entries()
         self.rate_limiter.forget_removed()
 
     @property
@@ -224,17 +239,18 @@
         found = self.subsets.get(service)
         if found is None:
             own = self.members.own.peer
-            found = subset.choose(
-                self.loads.of_service(service),
-                own.node_id,
-                own.failure_domain,
-            )
+            views = self.loads.of_service(service)
+            found = subset.choose(views, own.node_id, own.failure_domain)
             self.subsets[service] = found
+            self.upstream_counts[service] = sum(
+                not each.upstream.evacuated for each in views
+            )
         return found
 
     def upstream_count(self, service: str) -> int:
-        """Returns the total number of upstreams of a service."""
-        return len(self.loads.of_service(service))
+        """Returns how many upstreams of a service aren't evacuated."""
+        self.subset(service)
+        return self.upstream_counts[service]
 
     def fleet_waiting(
         self, service: str, own: shared_capacity.Urgency, now_ms: float
