Let a few processes read the store at a start and others ask them

After a second without state each process read the store by itself, and again every second while that failed, so a start of all during an outage of 3 s made 1,251 calls of the simulated fleet of 234. A process whose peers were not heard in 0.4 s read it as well. Now the first two seeds read after 0.4 s, six processes after 1.0 to 1.3 s, 24 after twice that, and any process whose peer doesn't deliver after three times. A failed store is probed every 2 s by the six first processes only, by others every 15 s.

--- a/src/lovageyoke/fleet/follower.py
+++ b/src/lovageyoke/fleet/follower.py
@@ -28,11 +28,19 @@
 REQUEST_GAP_MS = 200.0  # Between two snapshot requests.
 PEER_TIMEOUT_MS = 1_000.0  # Wait for peers before the store is read.
 START_JITTER_MS = 300.0  # Spreads the reads of processes started together.
+# Processes that read the store at a start after one and after two times the
+# wait for peers.
+START_READERS = 6
+START_READERS_LATE = 24
+START_MIN_PEERS = 8  # Live peers of a process that reads earlier by its rank.
+START_ANY_READER = 3.0  # Waits for peers after which a process reads anyway.
 BATCH_MS = 100.0  # Changes come in bursts; one call returns several.
 STANDBY_BATCH_MS = 500.0  # The standby gets most changes by heartbeat.
 RETRY_FIRST_MS = 150.0
 RETRY_MAX_MS = 1_000.0
 RECHECK_MS = 2_000.0  # Probes a failed store, so that it is soon watched again.
+RECHECKERS = 6
+RECHECK_OTHERS_MS = 15_000.0  # By all but the first ``RECHECKERS`` processes.
 
 
 class Follower:
@@ -48,6 +56,8 @@
         on_changes: Called when changes should be sent to peers immediately.
         send_request: Sends a snapshot request to a peer; returns False if
             there is no peer to ask.
+        is_seed: Whether this is one of the first seeds, or there are none; it
+            reads the store early.
         store_ok: Whether the last call to the store succeeded.
         failed_ms: When the last call failed.
         requested_ms: When the last snapshot request was sent.
@@ -70,6 +80,7 @@
         rng: random.Random,
         on_changes: Callable[[], None],
         send_request: Callable[[messages.SnapshotRequest], bool],
+        is_seed: bool = True,
     ) -> None:
         self.store = store
         self.replica = replica
@@ -79,6 +90,7 @@
         self.rng = rng
         self.on_changes = on_changes
         self.send_request = send_request
+        self.is_seed = is_seed
         self.store_ok = True
         self.failed_ms = -math.inf
         self.requested_ms = -math.inf
@@ -110,7 +122,7 @@
             await self.request_or_read(behind_ms, now_ms)
         elif self.should_watch(now_ms):
             await self.watch_once()
-        elif not self.store_ok and now_ms - self.failed_ms >= RECHECK_MS:
+        elif self.should_recheck(now_ms):
             await self.recheck()
         else:
             await self.clock.sleep_ms(POLL_MS)
@@ -118,16 +130,44 @@
     async def bootstrap(self, now_ms: float) -> None:
         """Loads the initial state, from a peer if there is one."""
         since_ms = now_ms - self.started_ms
-        if since_ms < DISCOVERY_MS:
-            await self.clock.sleep_ms(POLL_MS)
-            return
-        rank = self.members.watch_rank(now_ms, self.store_ok)
-        alone = not self.request_snapshot(now_ms) and rank < watching.WATCHERS
-        if alone or since_ms >= self.bootstrap_timeout_ms:
+        has_source = self.request_snapshot(now_ms)
+        if self.should_read_at_start(now_ms, since_ms, has_source):
             await self.read_all(stale=not self.replica.listed)
         else:
             await self.clock.sleep_ms(POLL_MS)
 
+    def should_read_at_start(
+        self, now_ms: float, since_ms: float, has_source: bool
+    ) -> bool:
+        """Returns whether a process without state should read the store.
+
+        When all processes start at once, few of them read and the others ask
+        these. A process that knows no live peer ranks first, but waits longer
+        unless it is a seed.
+
+        Args:
+            now_ms: The time.
+            since_ms: Time since the start of this process.
+            has_source: Whether a peer was asked for a snapshot.
+        """
+        timeout_ms = self.bootstrap_timeout_ms
+        if since_ms < timeout_ms:
+            if has_source or since_ms < DISCOVERY_MS:
+                return False
+            if self.is_seed:
+                return True
+            # With few known peers, the rank would be first by chance.
+            if len(self.members.live(now_ms)) < START_MIN_PEERS:
+                return False
+            readers = watching.WATCHERS
+        elif since_ms >= START_ANY_READER * timeout_ms and has_source:
+            # A peer has the state, but its answers don't arrive.
+            return True
+        else:
+            late = since_ms >= 2.0 * timeout_ms
+            readers = START_READERS_LATE if late else START_READERS
+        return self.members.watch_rank(now_ms, None) < readers
+
     async def request_or_read(self, since_ms: float, now_ms: float) -> None:
         """Requests a snapshot from a peer; reads the store after a timeout."""
         if (
@@ -162,6 +202,15 @@
             self.members, now_ms, stale_ms, self.store_ok
         )
 
+    def should_recheck(self, now_ms: float) -> bool:
+        """Returns whether this process should probe a failed store."""
+        if self.store_ok:
+            return False
+        since_ms = now_ms - self.failed_ms
+        if since_ms < RECHECK_MS or since_ms >= RECHECK_OTHERS_MS:
+            return since_ms >= RECHECK_OTHERS_MS
+        return self.members.watch_rank(now_ms, None) < RECHECKERS
+
     def batch_ms(self) -> float:
         """Returns the delay after a watch that collects further changes."""
         now_ms = self.clock.now_ms()
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -95,6 +95,7 @@
             rng=node.rng,
             on_changes=node.heartbeat_requested.set,
             send_request=self.request_snapshot,
+            is_seed=node.settings.is_seed,
         )
         self.prober = node_prober.Prober(node)
         self.messenger = node_messenger.Messenger(node, self.follower)
--- a/src/lovageyoke/node/settings.py
+++ b/src/lovageyoke/node/settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+FIRST_SEEDS = 2  # Seeds that read the store early at a start.
+
 
 @attrs.frozen
 class Bounds:
@@ -102,3 +104,9 @@
     capacity_percent: int = 100
     memory_bytes: int = 0
     max_descriptors: int = 0
+
+    @property
+    def is_seed(self) -> bool:
+        """Whether this is one of the first seeds, or there is no other one."""
+        others = [each for each in self.seeds if each != self.peers]
+        return not others or self.peers in self.seeds[:FIRST_SEEDS]
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -14,6 +14,7 @@
 from fakes import manual_clock
 from fakes import nodes
 from fakes import revision_store
+from fakes import virtual_time
 from lovageyoke.fleet import follower as fleet_follower
 from lovageyoke.fleet import layout as fleet_layout
 from lovageyoke.fleet import members as fleet_members
@@ -109,15 +110,17 @@
             on_upstreams=self.on_new_upstreams,
             broadcast=self.spread,
         )
+        store = self.fleet.store
         follower = fleet_follower.Follower(
-            store=revision_store.RevisionStore(),
+            store=store or revision_store.RevisionStore(),
             replica=self.replica,
             members=self.node.members,
-            clock=clock,
+            clock=virtual_time.VirtualClock(clock),
             log=self.fleet.log,
             rng=self.node.rng,
             on_changes=self.node.heartbeat_requested.set,
             send_request=self.ask,
+            is_seed=self.node.settings.is_seed,
         )
         self.follower = follower
         self.messenger = node_messenger.Messenger(self.node, follower)
@@ -126,7 +129,11 @@
         self.messenger.link.transport = Transport(self.send)  # type: ignore[assignment]
         self.wake_ms = math.inf
         self.urgent_from_ms = math.inf
-        self.wake_at(clock.now_ms() + self.fleet.rng.uniform(0.0, 300.0))
+        delay_ms = self.fleet.rng.uniform(0.0, self.fleet.start_spread_ms)
+        self.wake_at(clock.now_ms() + delay_ms)
+        if store is not None:
+            self.is_running = False
+            self.fleet.schedule(delay_ms, self.follow_task(self.incarnation))
 
     def on_new_configuration(self, configuration: model.Configuration) -> None:
         self.versions.append(configuration.version)
@@ -144,6 +151,24 @@
     def ask(self, request: messages.SnapshotRequest) -> bool:
         return self.messenger.request_snapshot(request)
 
+    def follow_task(self, incarnation: int) -> Callable[[], None]:
+        """Returns the start of the follower, which runs with the process."""
+
+        def follow() -> None:
+            if self.incarnation != incarnation:
+                return
+            self.is_running = True
+            self.follower.started_ms = self.fleet.clock.now_ms()
+            self.messenger.clock_started_ms = self.fleet.clock.now_ms()
+            virtual_time.drive(
+                self.follower.run(),
+                self.fleet.schedule,
+                lambda: self.is_running and self.incarnation == incarnation,
+            )
+            self.send_heartbeat()
+
+        return follow
+
     def wake_at(self, due_ms: float) -> None:
         """Schedules the next heartbeat, if it isn't due earlier."""
         if due_ms >= self.wake_ms:
@@ -170,7 +195,8 @@
         )
         if not self.paused:
             self.replica.expire_retained(now_ms)
-            self.request_missing_changes()
+            if self.fleet.store is None:
+                self.request_missing_changes()
             self.node.heartbeat_requested.clear()
             self.messenger.send_heartbeats()
             self.revisions.append(self.replica.revision)
@@ -244,6 +270,8 @@
         cut: Returns whether the link from one address to another is down.
         sent_bytes: Bytes sent by address.
         heard_bytes: Bytes received by address.
+        start_spread_ms: Time within which processes start.
+        store: The store; None if the processes don't run their followers.
     """
 
     def __init__(
@@ -257,6 +285,8 @@
         delay_ms: float = 3.0,
         period_ms: float = 40.0,
         large_each: int = 3,
+        start_spread_ms: float = 300.0,
+        store: virtual_time.SharedStore | None = None,
     ) -> None:
         self.layout = layout
         self.clock = manual_clock.ManualClock(1_000.0)
@@ -268,6 +298,8 @@
         self.duplicates = duplicates
         self.delay_ms = delay_ms
         self.period_ms = period_ms
+        self.start_spread_ms = start_spread_ms
+        self.store = store
         self.cut: Cut = lambda sender, receiver: False
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.order = itertools.count()
