--- a/src/lovageyoke/limits/shared_capacity.py
+++ b/src/lovageyoke/limits/shared_capacity.py
@@ -13,6 +13,10 @@
 import attrs
 
 MAX_PRIORITY = 9  # Less urgent priorities count as this one.
+# Queued requests of one urgency that a process counts for. It tries them one
+# after the other and stops at the first that gets nothing, so with long queues
+# the full number would leave capacity unused.
+MAX_COUNTED = 2
 # A class that is behind more urgent ones keeps this part of what it would
 # get if all were equal.
 MIN_RELATIVE_SHARE = 0.3
@@ -47,7 +51,7 @@
 
 @attrs.frozen
 class Waiting:
-    """Queued requests of a service in the whole fleet.
+    """Queued requests of a service in the whole fleet, as counted.
 
     Attributes:
         total: All of them.
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -266,7 +266,8 @@
         """Returns the services with queued requests, each with the count 1.
 
         The count stands for this process; collectors add up the counts. The
-        numbers of queued requests by urgency follow, each under its own key.
+        numbers of queued requests by urgency follow, each under its own key
+        and at most ``shared_capacity.MAX_COUNTED``.
         """
         counts = []
         for service, queue in self.queues.items():
@@ -274,7 +275,8 @@
                 continue
             counts.append((service, 1))
             for urgency, count in queue.by_urgency(now_ms).items():
-                counts.append((urgency.key(service), count))
+                counted = min(count, shared_capacity.MAX_COUNTED)
+                counts.append((urgency.key(service), counted))
         return tuple(counts)
 
     def offer_slot(self, service: str, view: load_view.UpstreamView) -> None:
