Test quotas with large bursts and lowered limits of idle accounts

With seeded faults in a copy of the source, the tests of simulated fleets missed a lowered limit that keeps the tokens of the higher one, because the account had none left. The limit is now also lowered before the sudden load, and an account with a burst of six times its rate is added. A process takes itself for alone only after two heartbeat periods, if these are long.

The copies with whole quotas for each part of a partition, lost increments, no increments of other domains, no margin in the depth, or a full quota after a restart of all fail these tests.

--- a/src/lovageyoke/node/quota_limiter.py
+++ b/src/lovageyoke/node/quota_limiter.py
@@ -24,7 +24,9 @@
 
 # A process alone among others counts on them until this time after its start.
 ESTABLISHED_MS = 400.0
-SILENT_MS = 500.0  # Time without a collector after which a process is alone.
+# Time without a collector after which a process is alone.
+SILENT_MS = 500.0
+SILENT_PERIODS = 2.0
 # Tokens of an account at the start of a process; what was used before is not
 # known.
 START_TOKENS = 2.0
@@ -197,7 +199,7 @@
 
     def oldest_told_ms(self, now_ms: float) -> float:
         """Returns since when a collector must have told a scarce quota."""
-        return now_ms - max(SILENT_MS, 2.0 * self.period_ms())
+        return now_ms - self.silent_ms
 
     def demand_per_s(self, use: account_use.AccountUse, now_ms: float) -> float:
         """Returns the requests per second of an account in the fleet."""
@@ -290,6 +292,11 @@
 
     # Delays
 
+    @property
+    def silent_ms(self) -> float:
+        """Time without a collector after which a process is alone."""
+        return max(SILENT_MS, SILENT_PERIODS * self.period_ms())
+
     @property
     def delay_ms(self) -> float:
         """Time until all processes know a count, at the usual heartbeats."""
@@ -348,20 +355,20 @@
         since_told_ms = now_ms - exchange.levels_heard_ms
         if self.members.collecting_since_ms is not None:
             established = now_ms - self.started_ms >= ESTABLISHED_MS
-            if established or since_told_ms <= 2.0 * SILENT_MS:
+            if established or since_told_ms <= 2.0 * self.silent_ms:
                 exchange.collected_ms = now_ms
                 return Mode.COLLECTOR
-        if since_told_ms <= SILENT_MS:
+        if since_told_ms <= self.silent_ms:
             return Mode.TOLD
         # A former collector keeps count until its successor tells the levels.
-        if now_ms - exchange.collected_ms <= SILENT_MS:
+        if now_ms - exchange.collected_ms <= self.silent_ms:
             return Mode.COLLECTOR
         return Mode.ALONE
 
     def change_mode(self, mode: Mode, now_ms: float) -> None:
         """Takes over the tokens as last told."""
         since_told_ms = now_ms - self.exchange.levels_heard_ms
-        if self.mode is Mode.TOLD or since_told_ms <= 2.0 * SILENT_MS:
+        if self.mode is Mode.TOLD or since_told_ms <= 2.0 * self.silent_ms:
             for use in self.uses.values():
                 use.bucket.level = self.told_level(use, now_ms)
                 use.bucket.updated_ms = now_ms
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -160,3 +160,37 @@
     decoded = codec.decode(cbor2.dumps(heartbeat_fields()[:-1]))
     assert isinstance(decoded, messages.Heartbeat)
     assert_that(decoded.rate_limits, matchers.Equals(()))
+
+
+def test_a_heartbeat_of_a_version_without_quotas_is_decoded() -> None:
+    decoded = codec.decode(cbor2.dumps(heartbeat_fields()))
+    assert isinstance(decoded, messages.Heartbeat)
+    assert_that(decoded.quota_counts, matchers.Equals(()))
+    assert_that(decoded.quota_levels, matchers.Is(None))
+
+
+@pytest.mark.parametrize("levels", [b"short", "text", 7])
+@pytest.mark.parametrize("counts", [b"short", "text", 7])
+def test_invalid_quotas_are_rejected(counts: object, levels: object) -> None:
+    for added in ([counts, None], [b"", levels]):
+        datagram = cbor2.dumps([*heartbeat_fields(), *added])
+        with pytest.raises(exceptions.DecodeError):
+            codec.decode(datagram)
+
+
+@pytest.mark.parametrize("value", [math.inf, math.nan])
+def test_a_quota_out_of_range_is_rejected(value: float) -> None:
+    # Guards against tokens that no later message can correct.
+    for level in ((1, value, 0.0), (1, 0.0, value)):
+        heartbeat = messages.Heartbeat(
+            messages.MemberState(PEER),
+            True,
+            1,
+            0,
+            0,
+            0,
+            0,
+            quota_levels=(messages.QuotaLevel(*level),),
+        )
+        with pytest.raises(exceptions.DecodeError):
+            codec.decode(codec.encode(heartbeat))
--- a/tests/fleet/test_quotas.py
+++ b/tests/fleet/test_quotas.py
@@ -23,7 +23,7 @@
 SETTLE_MS = 2_000.0
 SIZES = {1: [1], 16: [6, 5, 5], 130: [44, 43, 43], 311: scenarios.LARGE}
 PERIODS_MS = {1: 40.0, 16: 40.0, 130: 150.0, 311: scenarios.LARGE_PERIOD_MS}
-QUOTAS = [(0.3, 0.0), (10.0, 5.0), (100.0, 0.0), (100.0, 50.0)]
+QUOTAS = [(0.3, 0.0), (10.0, 5.0), (10.0, 60.0), (100.0, 0.0), (100.0, 50.0)]
 ACCOUNTS = tuple(
     account_traffic.account(f"account-{index}", per_s, burst)
     for index, (per_s, burst) in enumerate(QUOTAS)
@@ -231,11 +231,13 @@
         assert_that(refused, matchers.LessThan(3.0 + 0.05 * offered))
 
 
-def test_a_lowered_limit_holds_from_one_window_on() -> None:
+@pytest.mark.parametrize("surges_before", [True, False])
+def test_a_lowered_limit_holds_from_one_window_on(surges_before: bool) -> None:
     # Guards against tokens of the higher limit that stay in use.
     fleet = fleet_with(16, list(ACCOUNTS))
     traffic = traffic_of(fleet, list(ACCOUNTS))
-    surge(traffic)
+    if surges_before:
+        surge(traffic)
     fleet.run(3_000.0)
     scenarios.configure(fleet, fleet.processes[0], 2)
     fleet.run_until(
@@ -245,5 +247,6 @@
     for each in traffic:
         limits = fleet.processes[0].node.quotas.accounts
         each.account = limits[each.account.name]
+    surge(traffic)
     fleet.run(9_000.0)
     check_windows(traffic, begin_ms)
