Test a streamed response that is complete before its turn

An upstream may end a large response within one read, before the responses in front of it are complete; its end must still be written, and nothing of it stay counted.

--- a/tests/hop/test_pipelining.py
+++ b/tests/hop/test_pipelining.py
@@ -26,7 +26,8 @@
     """Responds to each request when the test releases its target.
 
     A target that starts with ``/stream`` gets a streamed response of
-    several chunks, one that starts with ``/abort`` is aborted in the middle.
+    several chunks, one that starts with ``/abort`` is aborted in the middle,
+    and one that starts with ``/whole`` is streamed at once.
     """
 
     def __init__(self) -> None:
@@ -47,6 +48,13 @@
     async def handle(
         self, request: messages.Request, caller: api.ResponseWriter
     ) -> None:
+        if request.target.startswith(b"/whole"):
+            self.requests.append(request)
+            caller.start_response(messages.Response(200, b"OK", [], b""))
+            caller.write_body(STREAM_CHUNK)
+            caller.write_body(STREAM_CHUNK)
+            caller.end_response()
+            return
         if not request.target.startswith((b"/stream", b"/abort")):
             await super().handle(request, caller)
             return
@@ -247,6 +255,21 @@
     assert_that(answer, matchers.Contains(b"\r\n0\r\n\r\nHTTP/1.1 200 OK"))
 
 
+async def test_a_streamed_response_may_be_complete_before_its_turn(
+    client: Client,
+) -> None:
+    client.send(b"GET /a", b"GET /whole", b"GET /b")
+    await client.wait_for_started(b"/a", b"/whole", b"/b")
+    client.release(b"/b", b"/a")
+    answer = await client.read_to(b"/b;")
+    assert_that(answer.index(b"/a;"), matchers.LessThan(answer.index(b"sss")))
+    assert_that(answer.count(STREAM_CHUNK), matchers.Equals(2))
+    assert_that(answer, matchers.Contains(b"\r\n0\r\n\r\nHTTP/1.1 200 OK"))
+    connection = client.connection()
+    assert_that(connection.pipeline.held_bytes, matchers.Equals(0))
+    assert_that(connection.pipeline.request_bytes, matchers.Equals(0))
+
+
 async def test_an_aborted_response_leaves_earlier_ones_complete(
     client: Client,
 ) -> None:
