Introduce a process once while others join, and guard the cost by counts

In a start of all, a collector sent all members to every process of its domain every 300 ms, as each knew fewer than the collector. It doesn't any more while the missing states are queued to be sent anyway. Messages with many changed states repeat no others.

--- a/src/lovageyoke/fleet/state_updates.py
+++ b/src/lovageyoke/fleet/state_updates.py
@@ -13,6 +13,8 @@
 
 MAX_CHANGED_STATES = 60  # Changed states per message.
 ROUND_ROBIN_STATES = 3
+# A message with this many changed states, as in a start of all, has no others.
+BUSY_STATES = 10
 
 
 class StateUpdates:
@@ -36,6 +38,10 @@
         """Queues the states of processes that have changed."""
         self.transmissions.queue(node_ids)
 
+    def queued(self) -> int:
+        """Returns how many changed states are still to be sent."""
+        return len(self.transmissions.pending) + len(self.members.changed_ids)
+
     def next_states(
         self, round_robin: bool
     ) -> tuple[messages.MemberState, ...]:
@@ -45,7 +51,7 @@
             round_robin: Whether to add states in round-robin order.
         """
         node_ids = self.transmissions.take(MAX_CHANGED_STATES)
-        if round_robin:
+        if round_robin and len(node_ids) < BUSY_STATES:
             node_ids.extend(
                 self.transmissions.take_round_robin(
                     [
--- a/src/lovageyoke/node/introductions.py
+++ b/src/lovageyoke/node/introductions.py
@@ -13,6 +13,7 @@
 JOINING_MS = 3_000.0  # Startup phase, in which seeds are contacted often.
 INTERVAL_MS = 300.0  # Minimum interval per peer.
 MAX_STATES = 150  # Per message.
+SETTLED_MS = 500.0  # After which a collector will probably stay one.
 
 
 class Introducer:
@@ -52,6 +53,7 @@
         heartbeat: messages.Heartbeat,
         address: fleet_link.Address,
         new: bool,
+        queued: int,
         now_ms: float,
     ) -> None:
         """Introduces members to a peer that is new or knows fewer of them.
@@ -59,17 +61,32 @@
         A collector sends all members to a peer of its own domain. Otherwise
         only the collector candidates are sent, and only if the peer is new or
         this process has just started.
+
+        Args:
+            heartbeat: The peer's heartbeat.
+            address: Its address.
+            new: Whether the peer is new.
+            queued: Number of changed states that a collector will send to its
+                domain next. A peer there that lacks no more than these gets
+                no introduction: each process that joins would cause one to
+                each other process.
+            now_ms: The time.
         """
         members = self.node.members
         peer = heartbeat.sender.peer
-        if not new and heartbeat.known >= members.known():
+        near = peer.failure_domain == members.domain
+        collects = near and members.collecting_since_ms is not None
+        missing = members.known() - heartbeat.known
+        # In a start, a process may collect for a moment and never send them.
+        since_ms = members.collecting_since_ms
+        stays = since_ms is not None and now_ms - since_ms >= SETTLED_MS
+        if not new and missing <= (queued if collects and stays else 0):
             return
         last_ms = self.sent_ms.get(peer.node_id, -math.inf)
         if now_ms - last_ms < INTERVAL_MS:
             return
         self.sent_ms[peer.node_id] = now_ms
-        near = peer.failure_domain == members.domain
-        if near and members.collecting_since_ms is not None:
+        if collects:
             states = [members.own]
             states += [each.state for each in members.others.values()]
         elif new or now_ms - self.started_ms < JOINING_MS:
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -355,7 +355,8 @@
             and now_ms - collector_heard_ms > fleet_members.LIVE_MS
         ):
             self.introducer.introduce_domain(message.sender.peer, address)
-        self.introducer.introduce(message, address, new, now_ms)
+        queued = self.local_states.queued()
+        self.introducer.introduce(message, address, new, queued, now_ms)
         if self.replica.is_behind(message):
             self.snapshot_source = address
         news = self.replica.apply_heartbeat(message, now_ms)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -27,7 +27,6 @@
 from lovageyoke.node import state as node_state
 from lovageyoke.observe import events
 from lovageyoke.platform import headers
-from lovageyoke.routing import load_view
 from lovageyoke.routing import model
 from lovageyoke.store import revisions
 
@@ -129,7 +128,9 @@
         self.messenger.link.transport = Transport(self.send)  # type: ignore[assignment]
         self.wake_ms = math.inf
         self.urgent_from_ms = math.inf
-        delay_ms = self.fleet.rng.uniform(0.0, self.fleet.start_spread_ms)
+        # Doesn't depend on the messages sent before.
+        start_rng = random.Random(f"{self.node_id}/{self.incarnation}")  # noqa: S311
+        delay_ms = start_rng.uniform(0.0, self.fleet.start_spread_ms)
         self.wake_at(clock.now_ms() + delay_ms)
         if store is not None:
             self.is_running = False
@@ -212,24 +213,6 @@
             now_ms = self.fleet.clock.now_ms()
             self.wake_at(max(now_ms, self.urgent_from_ms))
 
-    def observe(
-        self, upstream_id: str, report: load_view.LoadReport, urgent: bool
-    ) -> None:
-        """Records an upstream's report, as of a check or of a response.
-
-        Args:
-            upstream_id: The upstream.
-            report: The report.
-            urgent: Whether it came with a response, which frees a slot.
-        """
-        view = self.node.loads.by_id.get(upstream_id)
-        if view is None or not self.is_running:
-            return
-        self.node.reports.record_report(view, report, self.fleet.clock.now_ms())
-        if urgent:
-            self.node.heartbeat_requested.set()
-        self.send_if_requested()
-
     def request_missing_changes(self) -> None:
         now_ms = self.fleet.clock.now_ms()
         missing = self.replica.behind_since_ms(now_ms) is not None
--- a/tests/fleet/reporting.py
+++ b/tests/fleet/reporting.py
@@ -72,7 +72,7 @@
             pause_ms = process.node.until_period_ms(PERIOD_MS)
             self.fleet.schedule(pause_ms + CHECK_MS, check)
             report = self.report(upstream_id)
-            process.observe(upstream_id, report, urgent=False)
+            record(process, upstream_id, report, urgent=False)
 
         return check
 
@@ -82,7 +82,7 @@
             self.fleet.schedule(pause_ms, respond)
             upstream_id = self.rng.choice(UPSTREAMS)
             report = self.report(upstream_id)
-            process.observe(upstream_id, report, urgent=True)
+            record(process, upstream_id, report, urgent=True)
 
         return respond
 
@@ -94,3 +94,27 @@
             for process in self.fleet.running()
             for view in process.node.loads.by_id.values()
         )
+
+
+def record(
+    process: fleet_fake.Process,
+    upstream_id: str,
+    report: load_view.LoadReport,
+    urgent: bool,
+) -> None:
+    """Records an upstream's report at a process.
+
+    Args:
+        process: The process.
+        upstream_id: The upstream.
+        report: The report.
+        urgent: Whether it came with a response, which frees a slot.
+    """
+    view = process.node.loads.by_id.get(upstream_id)
+    if view is None or not process.is_running:
+        return
+    now_ms = process.fleet.clock.now_ms()
+    process.node.reports.record_report(view, report, now_ms)
+    if urgent:
+        process.node.heartbeat_requested.set()
+    process.send_if_requested()
--- a/tests/fleet/test_control_cost.py
+++ b/tests/fleet/test_control_cost.py
@@ -13,6 +13,7 @@
 import pytest
 from tests.fleet import conftest
 from tests.fleet import reporting
+from tests.fleet import scenarios
 from testtools import matchers
 from testtools.assertions import assert_that
 
@@ -131,3 +132,41 @@
     assert_that(calls(store), matchers.LessThan(250))
     store.error = None
     run_until_ready(fleet, READY_BOUND_MS)
+
+
+def test_a_start_of_all_sends_each_state_a_bounded_number_of_times(
+    store: virtual_time.SharedStore, traffic: Traffic
+) -> None:
+    fleet = fleet_with(store)
+    fleet.run(SPREAD_MS + READY_BOUND_MS)
+    assert_that(scenarios.all_converged(fleet), matchers.Equals(True))
+    pairs = len(fleet.processes) ** 2
+    # Each process joins and becomes ready; both are sent three times.
+    total = traffic.states.total()
+    assert_that(total / pairs, matchers.LessThan(9.5))
+    introduced = traffic.states["introductions"]
+    assert_that(introduced / pairs, matchers.LessThan(2.7))
+    seeds = traffic.messages["seeds"] / len(fleet.processes)
+    assert_that(seeds, matchers.LessThan(6.0))
+
+
+def test_an_idle_fleet_sends_few_messages(
+    store: virtual_time.SharedStore,
+) -> None:
+    fleet = fleet_with(store)
+    fleet.run(SPREAD_MS + READY_BOUND_MS)
+    fleet.received_counts.clear()
+    fleet.run(1_000.0)
+    collecting = [each for each in fleet.processes if each.is_collector()]
+    assert_that(collecting, matchers.HasLength(len(reporting.DOMAINS)))
+    received = fleet.received_counts
+    ordinary = [each for each in fleet.processes if each.capacity < 100]
+    counts = sorted(received[each.address] for each in ordinary)
+    assert_that(counts[len(counts) // 2], matchers.LessThan(55))
+    # The third in rank also receives the heartbeats of the second.
+    assert_that(counts[-1], matchers.LessThan(85))
+    # Each process sends a heartbeat each period.
+    size = max(reporting.DOMAINS)
+    own = size * 1_000.0 / reporting.PERIOD_MS
+    collector = max(received[each.address] for each in collecting)
+    assert_that(collector, matchers.LessThan(1.1 * own + 200))
