Send reports to other domains every 15 ms and test who reads at a start

Messages to other domains were due every 20 ms, which the 15 ms between two heartbeats of a collector made 30.

--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -26,7 +26,7 @@
 # Heartbeat intervals as shares of the heartbeat period.
 URGENT_SHARE = 0.25
 COLLECTOR_SHARE = 0.5
-REMOTE_SHARE = 0.5  # To other failure domains.
+REMOTE_SHARE = 0.375  # To other failure domains; at least every second time.
 MAX_REMOTE_REPORTS = 100  # Load reports per message to other failure domains.
 ROUND_ROBIN_EVERY = 2  # Heartbeats per one that repeats unchanged states.
 SEED_JOIN_INTERVAL_MS = 200.0
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -310,3 +310,54 @@
     assert_that(
         replica.recent.buffer, matchers.HasLength(fleet_changes.MAX_CHANGES)
     )
+
+
+@pytest.mark.parametrize(
+    ("peers", "is_seed", "waits", "reads"),
+    [
+        (0, True, 0.5, True),
+        (0, False, 0.5, False),
+        (0, False, 1.0, True),
+        (60, False, 1.0, False),
+        (60, False, 2.0, False),
+        (60, False, 9.0, False),
+    ],
+)
+def test_a_start_without_a_source_reads_only_as_one_of_the_first(
+    harness: conftest.FollowerHarness,
+    members: fleet_members.Members,
+    state_of: conftest.StateOf,
+    *,
+    peers: int,
+    is_seed: bool,
+    waits: float,
+    reads: bool,
+) -> None:
+    """Guards against a read of the store by each process of a large fleet."""
+    follower = harness.follower
+    follower.is_seed = is_seed
+    since_ms = waits * follower.bootstrap_timeout_ms
+    members.record_contact("a", since_ms)
+    for index in range(peers):
+        # All of them rank before this process.
+        members.merge(state_of(f"p{index}"), since_ms)
+        members.others[f"p{index}"].id_hash = -1
+    found = follower.should_read_at_start(since_ms, since_ms, has_source=False)
+    assert_that(found, matchers.Equals(reads))
+
+
+def test_a_process_that_peers_do_not_answer_reads_in_the_end(
+    harness: conftest.FollowerHarness,
+    members: fleet_members.Members,
+    state_of: conftest.StateOf,
+) -> None:
+    follower = harness.follower
+    timeout_ms = follower.bootstrap_timeout_ms
+    late_ms = timeout_ms * fleet_follower.START_ANY_READER
+    members.record_contact("a", late_ms)
+    for index in range(60):
+        members.merge(state_of(f"p{index}"), 0.0)
+        members.others[f"p{index}"].id_hash = -1
+    for since_ms, reads in ((2.0 * timeout_ms, False), (late_ms, True)):
+        found = follower.should_read_at_start(since_ms, since_ms, True)
+        assert_that(found, matchers.Equals(reads))
