--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -47,6 +47,7 @@
         listed: Whether all upstreams have been loaded since the start.
         recent: The latest changes.
         assembler: Received parts of an incomplete snapshot.
+        packed_snapshot: The last snapshot sent.
         missing_revision: Changes up to this revision are known to exist; the
             newest of them are missing while it exceeds ``revision``.
         gap_ms: Since when changes are missing; None if there is no gap.
@@ -80,6 +81,7 @@
         self.listed = False
         self.recent = changes.RecentChanges()
         self.assembler = snapshot.SnapshotAssembler()
+        self.packed_snapshot = snapshot.PackedSnapshot()
         self.missing_revision = 0
         self.gap_ms: float | None = None
         self.outdated_ms: float | None = None
@@ -322,13 +324,12 @@
         """
         if not self.listed or self.revision < request.revision:
             return []
-        entries = tuple(self.registry.entries())
-        whole = snapshot.Snapshot(
-            self.revision, self.staleness_ms(now_ms), entries
-        )
         update = self.configuration_update()
         version = self.configuration.version if self.configuration else 0
-        parts = snapshot.pack(whole, version)
+        age_ms = self.staleness_ms(now_ms)
+        parts = self.packed_snapshot.parts(
+            self.registry.entries(), self.revision, version, age_ms, now_ms
+        )
         return [*([update] if update else []), *parts]
 
     # Changes
--- a/src/lovageyoke/fleet/snapshot.py
+++ b/src/lovageyoke/fleet/snapshot.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Sequence
+import math
 from typing import Any
 import zlib
 
@@ -23,6 +25,7 @@
 MAX_PARTS = 400
 MAX_INCOMPLETE = 4  # Snapshots that are received at the same time.
 MAX_PART_BYTES = 1_000_000  # Decompressed.
+REPACK_MS = 100.0  # Entries retained in an outage end without a new revision.
 
 
 @attrs.frozen
@@ -87,6 +90,49 @@
     ]
 
 
+class PackedSnapshot:
+    """The last snapshot sent; in a start many processes ask for the same.
+
+    Attributes:
+        key: Its revision and configuration version.
+        packed_ms: When it was packed.
+        packed: Its parts.
+    """
+
+    def __init__(self) -> None:
+        self.key = (-1, -1)
+        self.packed_ms = -math.inf
+        self.packed: list[messages.SnapshotPart] = []
+
+    def parts(
+        self,
+        entries: Iterable[Entry],
+        revision: int,
+        configuration_version: int,
+        fresh_age_ms: int,
+        now_ms: float,
+    ) -> list[messages.SnapshotPart]:
+        """Returns the parts of a snapshot, packed at most ``REPACK_MS`` ago.
+
+        Args:
+            entries: All entries.
+            revision: Their revision.
+            configuration_version: Version that the sender follows.
+            fresh_age_ms: Time since the store confirmed the revision.
+            now_ms: The time.
+        """
+        key = (revision, configuration_version)
+        if key != self.key or now_ms - self.packed_ms > REPACK_MS:
+            whole = Snapshot(revision, fresh_age_ms, tuple(entries))
+            self.packed = pack(whole, configuration_version)
+            self.key = key
+            self.packed_ms = now_ms
+        return [
+            attrs.evolve(each, fresh_age_ms=fresh_age_ms)
+            for each in self.packed
+        ]
+
+
 class SnapshotAssembler:
     """Reassembles a snapshot from its parts.
 
--- a/tests/fleet/test_snapshot.py
+++ b/tests/fleet/test_snapshot.py
@@ -117,3 +117,22 @@
     message = messages.SnapshotPart(3, 0, 0, part, parts, b"")
     with pytest.raises(exceptions.DecodeError):
         snapshot.SnapshotAssembler().add(message)
+
+
+def test_a_snapshot_for_many_processes_is_packed_once() -> None:
+    entries = snapshot_of(3).entries
+    made = snapshot.PackedSnapshot()
+    first = made.parts(entries, 900, 1, 5, 0.0)
+    repeated = made.parts(iter(()), 900, 1, 9, snapshot.REPACK_MS)
+    expected = [attrs.evolve(each, fresh_age_ms=9) for each in first]
+    assert_that(repeated, matchers.Equals(expected))
+    for revision, version, now_ms in (
+        (901, 1, 0.0),
+        (900, 2, 0.0),
+        (900, 1, snapshot.REPACK_MS + 1.0),
+    ):
+        made = snapshot.PackedSnapshot()
+        made.parts(entries, 900, 1, 5, 0.0)
+        (part,) = made.parts(entries[1:], revision, version, 5, now_ms)
+        assert_that(part.revision, matchers.Equals(revision))
+        assert_that(part.packed, matchers.Not(matchers.Equals(first[0].packed)))
