Count rivals only for the upstreams that are free, as before

Giving up half of the freed slots while more urgent requests wait elsewhere had no gain beyond the spread.

--- a/src/lovageyoke/limits/shared_capacity.py
+++ b/src/lovageyoke/limits/shared_capacity.py
@@ -20,10 +20,6 @@
 # A class that is behind more urgent ones keeps this part of what it would
 # get if all were equal.
 MIN_RELATIVE_SHARE = 0.3
-# Of the slots freed by its own requests, a process keeps this part while more
-# urgent requests wait elsewhere. A slot given up stays free until its load
-# report has arrived, so giving up all of them would waste capacity.
-KEPT_SHARE = 0.5
 SEPARATOR = "\0"  # Between a service's name and an urgency, in counts.
 
 
@@ -120,17 +116,3 @@
     share = (free - ahead) / max(level_tries, 1.0)
     least = MIN_RELATIVE_SHARE * free / max(all_tries, 1.0)
     return min(1.0, max(share, least))
-
-
-def keep_probability(ahead: float) -> float:
-    """Returns the probability with which to keep a slot freed by this process.
-
-    Answers a burst of one kind at 2.6 times its usual rate: a less urgent
-    kind with a long latency target waits in many processes, and would get
-    most slots that become free there although more urgent requests wait in
-    others. It would then be served more often than these.
-
-    Args:
-        ahead: More urgent requests of other processes that could take it.
-    """
-    return KEPT_SHARE if ahead >= 1.0 else 1.0
--- a/src/lovageyoke/node/upstream_selector.py
+++ b/src/lovageyoke/node/upstream_selector.py
@@ -119,8 +119,6 @@
                 )
         if freed is not None:
             candidates = [each for each in candidates if each.view is freed]
-            if candidates and not self.keeps_freed_slot(now_ms):
-                return None
         elif not self.takes_shared_capacity(candidates, was_queued):
             # A rate limit reserves capacity for this process.
             candidates = [
@@ -181,38 +179,25 @@
         report_age_ms = REPORT_AGE_SHARE * node.period_ms
         tries = report_age_ms / node_state.ADMIT_INTERVAL_MS
         waiting = self.fleet_waiting(now_ms)
-        # Another process competes for the upstreams that both use.
-        seen = self.seen_share()
-        level_tries = seen * tries * waiting.level
-        all_tries = seen * tries * waiting.total
+        # Each competitor takes any upstream of the service, so few free ones
+        # get few of the tries.
+        share = len(choices) / max(1, node.upstream_count(self.service))
+        level_tries = share * tries * waiting.level
+        all_tries = share * tries * waiting.total
         if not was_queued:
             requests_per_s = node.requests_per_s(self.service, now_ms)
-            arrivals = seen * requests_per_s / MS_PER_SECOND * report_age_ms
+            arrivals = share * requests_per_s / MS_PER_SECOND * report_age_ms
             level_tries += arrivals
             all_tries += arrivals
         return node.rng.random() < shared_capacity.probability(
-            free, seen * waiting.ahead, level_tries, all_tries
+            free, share * waiting.ahead, level_tries, all_tries
         )
 
-    def keeps_freed_slot(self, now_ms: float) -> bool:
-        """Returns whether to take a slot that only this process knows of."""
-        ahead = self.seen_share() * self.fleet_waiting(now_ms).ahead
-        return self.node.rng.random() < shared_capacity.keep_probability(ahead)
-
     def fleet_waiting(self, now_ms: float) -> shared_capacity.Waiting:
         """Returns what is known of the service's queued requests."""
         own = shared_capacity.urgency(self.is_late(), self.route.priority)
         return self.node.fleet_waiting(self.service, own, now_ms)
 
-    def seen_share(self) -> float:
-        """Returns the share of the service's upstreams in this process's use.
-
-        About as many of the upstreams that it uses are used by any other
-        process.
-        """
-        total = max(1, self.node.upstream_count(self.service))
-        return min(1.0, len(self.views()) / total)
-
     def select_other(
         self, tried: Collection[tuple[str, int]]
     ) -> placement.Candidate | None:
