Mend what a first reading of the change stumbled on

A reader who knew nothing of the work listed names and comments that stop a newcomer. Renamed: the words for what a collector reports of a quota, its modes, its timeouts and the shares of a bucket's depth. Removed: a decoded duration, a count and a field that nothing read.

--- a/src/lovageyoke/fleet/entry_log.py
+++ b/src/lovageyoke/fleet/entry_log.py
@@ -1,4 +1,4 @@
-"""Logs changes of the entries of upstreams and evacuations."""
+"""Logs changes of upstreams and evacuations, and rejected entries."""
 
 from __future__ import annotations
 
--- a/src/lovageyoke/hop/connection_set.py
+++ b/src/lovageyoke/hop/connection_set.py
@@ -11,9 +11,9 @@
 if typing.TYPE_CHECKING:
     from lovageyoke.hop import server
 
-# Measured: 4.5 KB without a request, and 16 KB for each request in progress.
-# Every connection is counted with an ordinary request, so that it needs no
-# further counting.
+# Memory of a connection without a request, and of a request in progress. Every
+# connection is counted with an ordinary request, so that it needs no further
+# counting.
 CONNECTION_BYTES = 5_120
 REQUEST_BYTES = 16_384
 ORDINARY_REQUEST_BYTES = REQUEST_BYTES + 6_144
@@ -23,8 +23,8 @@
 EVICTED_SHARE = 1 / 16
 
 
-# Work for one connection in one turn of the event loop. With 600 busy
-# connections, reads of 64 KB made an ordinary request wait for 1.5 s.
+# Most bytes read from a connection in one turn of the event loop, so that
+# busy connections don't keep the others waiting.
 MAX_READ_BYTES = 16_384
 
 
--- a/src/lovageyoke/hop/large_body.py
+++ b/src/lovageyoke/hop/large_body.py
@@ -10,9 +10,9 @@
 class LargeBody:
     """A body that grows without being moved.
 
-    Many arrays that grow at the same time leave gaps in the heap that none of
-    the others fits into: with 600 unfinished bodies the process had twice the
-    memory of their contents. Free blocks of equal size are used again.
+    Many arrays that grow at the same time fragment the heap, so that the
+    process needs twice the memory of their contents. Free blocks of equal size
+    are used again.
 
     Attributes:
         blocks: The blocks; all but the last are full.
--- a/src/lovageyoke/hop/pipeline.py
+++ b/src/lovageyoke/hop/pipeline.py
@@ -122,7 +122,7 @@
     # Internal methods
 
     def complete_responses(self) -> None:
-        """Gives the turn to the first request that isn't done."""
+        """Removes handled requests from the front; lets the next one write."""
         while self.exchanges and self.exchanges[0].done:
             if self.connection.disconnected():
                 return
--- a/src/lovageyoke/hop/request_parser.py
+++ b/src/lovageyoke/hop/request_parser.py
@@ -85,8 +85,8 @@
 
         A message ends where its stated length ends or, without one, with an
         empty line. So the requests behind it stay unparsed until they can be
-        accepted. (An empty line that is split between two reads isn't found;
-        then at most two messages are parsed.)
+        accepted. An empty line that is split between two reads isn't found;
+        at most two messages are parsed then.
 
         Args:
             data: Received bytes.
@@ -117,7 +117,7 @@
         return end
 
     def slice_end(self, data: bytes, start: int) -> int:
-        """Returns the end of the bytes that hold the end of one message."""
+        """Returns the index up to which the parser may be fed."""
         if self.body_left:
             return min(len(data), start + self.body_left)
         found = data.find(HEAD_END, start)
--- a/src/lovageyoke/hop/server.py
+++ b/src/lovageyoke/hop/server.py
@@ -27,7 +27,7 @@
 LOW_WATER_BYTES = 32_768
 HIGH_WATER_BYTES = 131_072
 # Time to discard the rest of a refused body.
-LINGER_MS = 1_000.0
+DISCARD_TIMEOUT_MS = 1_000.0
 BODY_REFUSALS = frozenset(
     {kinds.ErrorKind.BODY_TOO_LARGE, kinds.ErrorKind.OVERLOADED}
 )
@@ -274,7 +274,7 @@
             return
         self.start_unread_timer()
         self.finished = True
-        self.start_read_timer(LINGER_MS)
+        self.start_read_timer(DISCARD_TIMEOUT_MS)
         try:
             self.transport.write_eof()
         except OSError:  # The caller has reset the connection.
--- a/src/lovageyoke/hop/unread_timer.py
+++ b/src/lovageyoke/hop/unread_timer.py
@@ -7,16 +7,16 @@
 import sys
 import termios
 
-# Looks at the unread bytes this often in the time limit. Bytes that are added
-# after the start hide what was read in the first interval only.
+# Checks per time limit. Bytes that are added after the start hide what was
+# read in the first interval only.
 CHECKS = 4
 
 
 def unread_bytes(transport: asyncio.Transport) -> int:
     """Returns the number of written bytes that the peer has not received.
 
-    A socket that is full takes more only when a third of its megabytes are
-    free, so the write buffer alone doesn't tell a slow peer from a silent one.
+    A full socket takes more only when a third of its buffer is free, so the
+    write buffer alone doesn't tell a slow peer from a silent one.
     """
     size = transport.get_write_buffer_size()
     sock = transport.get_extra_info("socket")
--- a/src/lovageyoke/limits/account_use.py
+++ b/src/lovageyoke/limits/account_use.py
@@ -10,12 +10,12 @@
 
 from lovageyoke.limits import quota as limits_quota
 
-# Part of the depth above which a quota isn't told; it is then taken for the
-# number of tokens.
-UNTOLD_PART = 0.5
-# While no collector tells them more, all processes add the same tokens and use
-# the same ones. They add none after this time, and assume that those left are
-# being used by the others.
+# Share of the depth above which the tokens aren't reported; the others then
+# assume that this many are left.
+UNREPORTED_DEPTH_SHARE = 0.5
+# Without newer reports all processes add the same tokens and use the same ones.
+# They add none after this time, and assume that those left are being used by
+# the others.
 MAX_REFILL_MS = 60.0
 MS_PER_SECOND = 1_000.0
 
@@ -24,8 +24,8 @@
     """Where a process knows the tokens from."""
 
     COLLECTOR = "collector"  # It keeps count for its failure domain.
-    TOLD = "told"  # A collector tells it.
-    ALONE = "alone"  # It has a share of its own.
+    FOLLOWER = "follower"  # A collector reports them.
+    ISOLATED = "isolated"  # It has a share of its own.
 
 
 @attrs.define(eq=False)
@@ -47,10 +47,10 @@
         domain_offered: The same for requests received.
         unreported: Time of each request admitted here that the collector
             may not know, and of each refund, with its sign.
-        told_tokens: Tokens that the collector last told.
-        told_demand_per_s: Requests per second that it last told.
-        told_ms: When it last told them.
-        tellings: Messages in which a collector still has to tell the quota.
+        reported_tokens: Tokens in the collector's last report.
+        reported_demand_per_s: Requests per second in that report.
+        reported_ms: When that report was received.
+        repeats_left: Messages in which a collector still reports the quota.
         refused: Requests refused since the start.
         refused_before: ``refused`` when limiting last started.
         last_refused_ms: Time of the last refusal.
@@ -70,10 +70,10 @@
     unreported: collections.deque[tuple[float, int]] = attrs.field(
         factory=collections.deque
     )
-    told_tokens: float = 0.0
-    told_demand_per_s: float = 0.0
-    told_ms: float = -1e12
-    tellings: int = 0
+    reported_tokens: float = 0.0
+    reported_demand_per_s: float = 0.0
+    reported_ms: float = -1e12
+    repeats_left: int = 0
     refused: int = 0
     refused_before: int = 0
     last_refused_ms: float = 0.0
@@ -89,7 +89,7 @@
         while self.unreported and self.unreported[0][0] <= until_ms:
             self.unreported.popleft()
 
-    def told_level(
+    def reported_level(
         self,
         now_ms: float,
         *,
@@ -101,16 +101,20 @@
 
         Args:
             now_ms: The time.
-            heard_ms: When the collector last told quotas.
-            oldest_ms: When an account must have been told at least; its quota
+            heard_ms: When the collector last reported quotas.
+            oldest_ms: When an account must have been reported; its quota
                 is not nearly used up otherwise.
             horizon_ms: Time within which all processes together use the
                 present tokens in overload.
         """
-        told = self.told_ms >= oldest_ms
+        is_reported = self.reported_ms >= oldest_ms
         depth = self.bucket.quota.depth
-        tokens = self.told_tokens if told else UNTOLD_PART * depth
-        since_ms = now_ms - (self.told_ms if told else heard_ms)
+        tokens = (
+            self.reported_tokens
+            if is_reported
+            else UNREPORTED_DEPTH_SHARE * depth
+        )
+        since_ms = now_ms - (self.reported_ms if is_reported else heard_ms)
         refill_ms = min(since_ms, MAX_REFILL_MS)
         tokens += refill_ms / MS_PER_SECOND * self.bucket.quota.per_s
         tokens = min(depth, tokens)
--- a/src/lovageyoke/limits/admission_queue.py
+++ b/src/lovageyoke/limits/admission_queue.py
@@ -39,7 +39,6 @@
         start: Starts it if an upstream has capacity, and returns whether one
             had. Its argument is the only upstream to take, None for any.
         refuse: Ends the wait with a refusal.
-        work_ms: Expected service time.
         kind: Name of its kind, usually of its route; empty if unknown.
         account: Name of its client account, None if it has none.
         waited_ms: Time that its caller spent on earlier tries.
@@ -52,7 +51,6 @@
     give_up_ms: float
     start: Callable[[load_view.UpstreamView | None], bool]
     refuse: Callable[[], None]
-    work_ms: float = 0.0
     kind: str = ""
     account: str | None = None
     waited_ms: float = 0.0
--- a/src/lovageyoke/limits/memory_budget.py
+++ b/src/lovageyoke/limits/memory_budget.py
@@ -11,16 +11,16 @@
 from collections.abc import Callable
 import sys
 
-# The interpreter, the modules, and what the process knows of a fleet of some
-# hundred members. Measured: 25 MB with one upstream.
+# Memory outside the budget: the interpreter, the modules, and what the process
+# knows of a fleet of some hundred members.
 RESERVED_BYTES = 48_000_000
-# Small VMs share the memory between both.
+# The budget is at least this share of the memory.
 MIN_LIMIT_SHARE = 0.25
 DEFAULT_MEMORY_BYTES = 256_000_000  # If the settings state none.
 # Above this share, large holders give up what they hold; the rest of the
 # budget is kept for ordinary requests.
 LARGE_SHARE = 0.8
-# Holders above this are large. Ordinary requests hold a tenth of it.
+# Holders above this are large.
 LARGE_BYTES = 65_536
 
 
--- a/src/lovageyoke/limits/quota.py
+++ b/src/lovageyoke/limits/quota.py
@@ -1,6 +1,6 @@
 """Token bucket of a client account's quota, shared by all processes.
 
-The bucket addresses the requests of one account in the whole fleet. What it
+The bucket limits the requests of one account in the whole fleet. What it
 holds is known only with a delay, so in overload a process admits a share of
 the requests that uses up the tokens within a multiple of that delay, instead
 of all requests while there are tokens.
@@ -15,10 +15,11 @@
 from lovageyoke.routing import model
 
 MS_PER_SECOND = 1_000.0
-# Parts of the tolerated excess by which the bucket is deeper than the burst.
-# The rest is for requests admitted before their number is known to all.
-DEPTH_OF_SHARE = 0.35
-DEPTH_OF_SLACK = 0.6
+# Shares of the proportional excess and of the slack by which the bucket is
+# deeper than the burst. The rest is for requests admitted before their number
+# is known to all.
+EXCESS_DEPTH_SHARE = 0.35
+SLACK_DEPTH_SHARE = 0.6
 MAX_WAIT_MS = 60_000.0
 
 
@@ -56,8 +57,8 @@
     excess = tolerance.over * (in_window + account.burst)
     depth = (
         account.burst
-        + DEPTH_OF_SHARE * excess
-        + DEPTH_OF_SLACK * tolerance.slack
+        + EXCESS_DEPTH_SHARE * excess
+        + SLACK_DEPTH_SHARE * tolerance.slack
     )
     return Quota(account.rate_per_s, max(1.0, depth))
 
@@ -142,8 +143,8 @@
 ) -> float:
     """Returns the share of the requests to admit, 1 or more for all.
 
-    Admitting this share uses the present tokens and the new ones up within
-    the horizon.
+    Admitting this share uses up the present and the new tokens within the
+    horizon.
 
     Args:
         level: Number of tokens.
--- a/src/lovageyoke/limits/shared_capacity.py
+++ b/src/lovageyoke/limits/shared_capacity.py
@@ -2,8 +2,8 @@
 
 Each process knows, from heartbeats, how many requests of a service are queued
 in the fleet and how urgent they are. The numbers are about as old as the load
-reports. No process decides for another: each takes
-capacity with a probability such that all together take about what is free.
+reports. No process decides for another: each takes capacity with a probability
+such that all together take about what is free.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 import attrs
 
 MAX_PRIORITY = 9  # Less urgent priorities count as this one.
-# Queued requests of one urgency that a process counts for. It tries them one
+# Most queued requests of one urgency that a process reports. It tries them one
 # after the other and stops at the first that gets nothing, so with long queues
 # the full number would leave capacity unused.
 MAX_COUNTED = 2
@@ -51,13 +51,11 @@
 
     Attributes:
         total: All of them.
-        in_time: Those that can meet their target.
         ahead: Those more urgent than the one that decides, and as late.
         level: Those equally urgent.
     """
 
     total: int
-    in_time: int
     ahead: int
     level: int
 
@@ -75,7 +73,7 @@
             service: The service.
             own: Urgency of the request that decides.
         """
-        processes = total = in_time = ahead = level = 0
+        processes = total = ahead = level = 0
         for key, count in counts:
             name, _, code = key.partition(SEPARATOR)
             if name != service:
@@ -85,14 +83,13 @@
                 continue
             total += count
             late = code[0] == "1"
-            in_time += 0 if late else count
             if late == own.late:
                 priority = int(code[1:])
                 ahead += count if priority < own.priority else 0
                 level += count if priority == own.priority else 0
         if total == 0:
-            return cls(processes, processes, 0, processes)
-        return cls(total, in_time, ahead, level)
+            return cls(processes, 0, processes)
+        return cls(total, ahead, level)
 
 
 def probability(
--- a/src/lovageyoke/node/admission.py
+++ b/src/lovageyoke/node/admission.py
@@ -97,7 +97,6 @@
             give_up_ms,
             start,
             functools.partial(_set_refused, started),
-            race.selector.work.service_ms,
             race.route.name,
             race.account,
             race.waited_ms,
--- a/src/lovageyoke/node/cold_starts.py
+++ b/src/lovageyoke/node/cold_starts.py
@@ -12,8 +12,8 @@
 from lovageyoke.routing import model
 from lovageyoke.routing import rate_limit
 
-# The end of a cold time is sent to the peers for as long.
-LINGER_MS = 2_000.0
+# How long the end of a cold time is sent to the peers.
+REPORT_END_MS = 2_000.0
 REFRESH_MS = 300.0  # Cold upstreams are reported again, as messages get lost.
 
 
@@ -101,7 +101,7 @@
         if report.cold_ms is None or view is None:
             return
         if view.upstream.started_ms != report.started_ms:
-            # Another start of the upstream has no part in it.
+            # The report is about another start of the upstream.
             return
         if view.cold is None:
             view.cold = cold_state.ColdState()
@@ -166,7 +166,7 @@
         self.limit_of(view).cold_per_s = per_s
         self.limiter.changes += 1
         self.tracked[view.upstream.upstream_id] = view
-        self.next_ms = min(self.next_ms, now_ms + LINGER_MS)
+        self.next_ms = min(self.next_ms, now_ms + REPORT_END_MS)
         self.limiter.log.event(
             "upstream-warm" if per_s is None else "upstream-cold",
             upstream=view.upstream.upstream_id,
@@ -201,7 +201,7 @@
             self.update(view, state, "time")
             gone_ms = state.end_ms
             if not view.is_cold_limited():
-                gone_ms += LINGER_MS
+                gone_ms += REPORT_END_MS
                 if now_ms >= gone_ms:
                     self.forget(upstream_id, view)
                     continue
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -86,14 +86,14 @@
         if account is not None and account.priority is not None:
             route = attrs.evolve(route, priority=account.priority)
         name = account.name if account else ""
-        refuse_ms = self.node.quotas.refuse_ms(name)
-        if refuse_ms is not None:
+        retry_ms = self.node.quotas.try_admit(name)
+        if retry_ms is not None:
             self.send_error(
                 request,
                 caller,
                 Kind.QUOTA_USED_UP,
                 None,
-                retry_after_ms=refuse_ms,
+                retry_after_ms=retry_ms,
                 account=name,
             )
             return
@@ -326,7 +326,8 @@
         """Returns the delay after which a refused caller should retry.
 
         The delay follows the expected time until the requests queued now have
-        started, but at most a third of the caller's time left.
+        started, but at most a third of the caller's time left. Rate limits of
+        all upstreams may require a longer one.
         """
         if table.response_for(kind).retry_after_s is None:
             return None
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -20,8 +20,8 @@
 from lovageyoke.node import introductions
 from lovageyoke.node import state as node_state
 
-# Also holds for urgent heartbeats. 10 ms made load reports 4 ms newer on
-# average, at half again as many messages of a collector.
+# Also holds for urgent heartbeats. A shorter gap makes load reports hardly
+# newer, at many more messages of a collector.
 MIN_HEARTBEAT_GAP_MS = 15.0
 # Heartbeat intervals as shares of the heartbeat period.
 URGENT_SHARE = 0.25
--- a/src/lovageyoke/node/quota_exchange.py
+++ b/src/lovageyoke/node/quota_exchange.py
@@ -19,21 +19,23 @@
 MAX_LEVELS = 100
 LEVELS_INTERVAL_MS = 40.0
 MS_PER_SECOND = 1_000.0
-# A quota is told if processes that weren't told it would admit less than this
+# A quota is reported if processes without a report would admit less than this
 # multiple of the demand.
 SAFE_RATIO = 1.5
-# A quota that is no longer scarce is told in so many further messages.
-TELLINGS = 3
+# Further messages that report a quota that is no longer scarce.
+ADDITIONAL_REPORTS = 3
+# An account with less demand than this share of its rate is idle.
+IDLE_DEMAND_SHARE = 0.1
 ACKNOWLEDGED_MS = 10.0  # Time in which a count reaches the collector.
 # A process of the own failure domain that wasn't heard for longer uses its
 # share. Busy processes may be late.
-SILENT_MS = 600.0
-SILENT_PERIODS = 3.0
+PEER_TIMEOUT_MS = 600.0
+PEER_TIMEOUT_PERIODS = 3.0
 # The same for the collector of another failure domain, which sends at least
 # every half period and is never short of processor time. Until then it could
 # use the tokens that this domain uses too.
-REMOTE_SILENT_MS = 60.0
-REMOTE_SILENT_PERIODS = 1.5
+REMOTE_TIMEOUT_MS = 60.0
+REMOTE_TIMEOUT_PERIODS = 1.5
 
 COLLECTOR = account_use.Mode.COLLECTOR
 
@@ -76,13 +78,15 @@
     @property
     def silent_ms(self) -> float:
         """Time after which a process that isn't heard uses its share."""
-        return max(SILENT_MS, SILENT_PERIODS * self.limiter.period_ms())
+        return max(
+            PEER_TIMEOUT_MS, PEER_TIMEOUT_PERIODS * self.limiter.period_ms()
+        )
 
     @property
     def remote_silent_ms(self) -> float:
         """Time after which another failure domain uses its share."""
         period_ms = self.limiter.period_ms()
-        return REMOTE_SILENT_MS + REMOTE_SILENT_PERIODS * period_ms
+        return REMOTE_TIMEOUT_MS + REMOTE_TIMEOUT_PERIODS * period_ms
 
     def forget_removed(self) -> None:
         """Forgets the accounts that no longer exist."""
@@ -148,13 +152,13 @@
             return None
         self.levels_sent_ms = now_ms
         levels = [
-            messages.QuotaLevel(each.number, *told)
+            messages.QuotaLevel(each.number, *reported)
             for each in list(self.active.values())
-            if (told := self.level_to_tell(each, now_ms)) is not None
+            if (reported := self.level_to_report(each, now_ms)) is not None
         ]
         return tuple(levels[:MAX_LEVELS])
 
-    def level_to_tell(
+    def level_to_report(
         self, use: account_use.AccountUse, now_ms: float
     ) -> tuple[float, float] | None:
         """Returns the tokens and the demand of a scarce quota, else None."""
@@ -162,16 +166,19 @@
         level = limiter.level(use, now_ms)
         demand_per_s = limiter.demand_per_s(use, now_ms)
         limit = use.bucket.quota
-        untold = account_use.UNTOLD_PART * limit.depth
+        unreported = account_use.UNREPORTED_DEPTH_SHARE * limit.depth
         if (
-            level < untold
-            or limiter.ratio(use, untold, demand_per_s) < SAFE_RATIO
+            level < unreported
+            or limiter.ratio(use, unreported, demand_per_s) < SAFE_RATIO
         ):
-            use.tellings = TELLINGS
-        elif use.tellings > 0:
-            use.tellings -= 1
+            use.repeats_left = ADDITIONAL_REPORTS
+        elif use.repeats_left > 0:
+            use.repeats_left -= 1
         else:
-            if level >= limit.depth and demand_per_s < 0.1 * limit.per_s:
+            if (
+                level >= limit.depth
+                and demand_per_s < IDLE_DEMAND_SHARE * limit.per_s
+            ):
                 del self.active[use.name]
             return None
         # The receivers add the whole rate within the horizon.
@@ -257,7 +264,7 @@
     def apply_levels(
         self, levels: Iterable[messages.QuotaLevel], now_ms: float
     ) -> None:
-        """Applies what the collector tells."""
+        """Applies the collector's report."""
         limiter = self.limiter
         limiter.update_mode(now_ms)
         collects = self.members.collecting_since_ms is not None
@@ -267,18 +274,18 @@
         reported_ms = (
             last_ms if now_ms - last_ms >= ACKNOWLEDGED_MS else self.sent_ms[0]
         )
-        oldest_ms = limiter.oldest_told_ms(now_ms)
+        oldest_ms = limiter.oldest_report_ms(now_ms)
         for use in list(self.active.values()):
             use.drop_reported(reported_ms)
-            if not use.unreported and use.told_ms < oldest_ms:
+            if not use.unreported and use.reported_ms < oldest_ms:
                 del self.active[use.name]
         for each in levels:
-            told = limiter.by_number.get(each.account)
-            if told is not None:
-                self.active[told.name] = told
-                told.told_tokens = each.tokens
-                told.told_demand_per_s = each.demand_per_s
-                told.told_ms = now_ms
+            reported = limiter.by_number.get(each.account)
+            if reported is not None:
+                self.active[reported.name] = reported
+                reported.reported_tokens = each.tokens
+                reported.reported_demand_per_s = each.demand_per_s
+                reported.reported_ms = now_ms
         self.levels_heard_ms = now_ms
         limiter.update_mode(now_ms)
 
--- a/src/lovageyoke/node/quota_limiter.py
+++ b/src/lovageyoke/node/quota_limiter.py
@@ -2,8 +2,8 @@
 
 The collectors keep count of the tokens of each account: of the requests that
 the processes of their failure domain report, and of those that the other
-collectors report. They tell their domain which quotas are nearly used up. A
-process that hears no collector uses its share of the rate.
+collectors report. They report to their domain which quotas are nearly used up.
+A process that hears no collector uses its share of the rate.
 """
 
 from __future__ import annotations
@@ -22,18 +22,21 @@
 from lovageyoke.observe import events
 from lovageyoke.routing import model
 
-# A process alone among others counts on them until this time after its start.
+# After its start a process waits this long for a collector before it takes
+# itself for isolated.
 ESTABLISHED_MS = 400.0
-# Time without a collector after which a process is alone.
-SILENT_MS = 500.0
-SILENT_PERIODS = 2.0
+# Time without a collector after which a process is isolated.
+COLLECTOR_TIMEOUT_MS = 500.0
+COLLECTOR_TIMEOUT_PERIODS = 2.0
 # Tokens of an account at the start of a process; what was used before is not
 # known.
 START_TOKENS = 2.0
 SHARE_INTERVAL_MS = 50.0
-# Delay of the counts, as a multiple of the heartbeat period, and in addition.
+# All processes know a count after so many heartbeat periods, and this time in
+# addition.
 DELAY_PERIODS = 2.0
 DELAY_MS = 20.0
+# In overload the present tokens are used within so many such delays.
 HORIZON_DELAYS = 2.5
 MAX_HORIZON_MS = 1_500.0
 MIN_DEMAND_DECAY_MS = 300.0
@@ -41,6 +44,7 @@
 # A sudden load by this multiple of an account's rate must not exceed its
 # tokens before it is known; if it could, counts are sent early.
 SURGE = 6.5
+COLLECTOR_EARLY_SHARE = 0.25  # Of the period, between early heartbeats.
 LIMITED_MS = 5_000.0  # Time without a refusal after which limiting has ended.
 MS_PER_SECOND = 1_000.0
 
@@ -65,8 +69,8 @@
         by_number: The same by number.
         exchange: Sends and receives counts and levels.
         mode: Where the tokens are known from.
-        share: Share of the rates that a collector's group or a process alone
-            may use.
+        share: Share of the rates that a collector's group or an isolated
+            process may use.
         share_until_ms: When the share is computed again.
         early_ms: When a heartbeat was last requested early.
     """
@@ -94,7 +98,7 @@
         self.uses: dict[str, account_use.AccountUse] = {}
         self.by_number: dict[int, account_use.AccountUse] = {}
         self.exchange = quota_exchange.QuotaExchange(self, members)
-        self.mode = Mode.ALONE
+        self.mode = Mode.ISOLATED
         self.share = 1.0
         self.share_until_ms = -math.inf
         self.early_ms = -math.inf
@@ -140,7 +144,7 @@
 
     # Requests
 
-    def refuse_ms(self, name: str) -> float | None:
+    def try_admit(self, name: str) -> float | None:
         """Admits a request of an account, or refuses it.
 
         Args:
@@ -179,35 +183,38 @@
         """Takes tokens of an account for requests of this process."""
         use.count_admitted(change)
         use.bucket.level -= change
-        if self.mode is Mode.TOLD:
+        if self.mode is Mode.FOLLOWER:
             use.unreported.append((now_ms, change))
 
     def level(self, use: account_use.AccountUse, now_ms: float) -> float:
         """Returns the tokens of an account."""
-        if self.mode is not Mode.TOLD:
+        if self.mode is not Mode.FOLLOWER:
             return use.bucket.advance(now_ms)
-        return self.told_level(use, now_ms)
+        return self.reported_level(use, now_ms)
 
-    def told_level(self, use: account_use.AccountUse, now_ms: float) -> float:
-        """Returns the tokens of an account as last told."""
-        return use.told_level(
+    def reported_level(
+        self, use: account_use.AccountUse, now_ms: float
+    ) -> float:
+        """Returns the tokens of an account as last reported."""
+        return use.reported_level(
             now_ms,
             heard_ms=self.exchange.levels_heard_ms,
-            oldest_ms=self.oldest_told_ms(now_ms),
+            oldest_ms=self.oldest_report_ms(now_ms),
             horizon_ms=self.horizon_ms,
         )
 
-    def oldest_told_ms(self, now_ms: float) -> float:
-        """Returns since when a collector must have told a scarce quota."""
+    def oldest_report_ms(self, now_ms: float) -> float:
+        """Returns since when a collector must have reported a scarce quota."""
         return now_ms - self.silent_ms
 
     def demand_per_s(self, use: account_use.AccountUse, now_ms: float) -> float:
         """Returns the requests per second of an account in the fleet."""
         own_per_s = use.demand.per_s(now_ms, self.demand_decay_ms)
-        told = self.mode is Mode.TOLD and use.told_ms >= self.oldest_told_ms(
-            now_ms
+        is_reported = (
+            self.mode is Mode.FOLLOWER
+            and use.reported_ms >= self.oldest_report_ms(now_ms)
         )
-        return max(own_per_s, use.told_demand_per_s if told else 0.0)
+        return max(own_per_s, use.reported_demand_per_s if is_reported else 0.0)
 
     def admits(
         self, use: account_use.AccountUse, level: float, now_ms: float
@@ -219,7 +226,7 @@
             level: Tokens of the account.
             now_ms: The time.
         """
-        if self.mode is Mode.ALONE:
+        if self.mode is Mode.ISOLATED:
             # Its tokens are a fraction of one; the processes that admit a
             # request for them are chosen by their phases.
             return level >= use.phase
@@ -244,7 +251,7 @@
 
     def rate_per_s(self, use: account_use.AccountUse) -> float:
         """Returns the rate that the counted processes may use together."""
-        if self.mode is Mode.TOLD:
+        if self.mode is Mode.FOLLOWER:
             return use.bucket.quota.per_s
         return use.bucket.per_s
 
@@ -267,7 +274,7 @@
         use.refused += 1
         use.last_refused_ms = now_ms
         per_s = self.rate_per_s(use)
-        if self.mode is Mode.ALONE:
+        if self.mode is Mode.ISOLATED:
             return quota.wait_ms(1.0 + level - use.phase, per_s, 0.0, 0.0)
         over_per_s = max(0.0, demand_per_s - per_s)
         refused = over_per_s * self.demand_decay_ms / MS_PER_SECOND
@@ -294,8 +301,10 @@
 
     @property
     def silent_ms(self) -> float:
-        """Time without a collector after which a process is alone."""
-        return max(SILENT_MS, SILENT_PERIODS * self.period_ms())
+        """Time without a collector after which a process is isolated."""
+        return max(
+            COLLECTOR_TIMEOUT_MS, COLLECTOR_TIMEOUT_PERIODS * self.period_ms()
+        )
 
     @property
     def delay_ms(self) -> float:
@@ -315,14 +324,14 @@
     def request_early(self, use: account_use.AccountUse, now_ms: float) -> None:
         """Sends counts early if a sudden load could exceed the tokens.
 
-        At most one heartbeat per period is sent early, so their number
-        doesn't grow with the requests.
+        At most one heartbeat per period is sent early, four by a collector,
+        so their number doesn't grow with the requests.
         """
         limit = use.bucket.quota
         surge = SURGE * limit.per_s * self.delay_ms / MS_PER_SECOND
         period_ms = self.period_ms()
         if self.mode is Mode.COLLECTOR:
-            period_ms *= 0.25
+            period_ms *= COLLECTOR_EARLY_SHARE
         if surge > limit.depth and now_ms - self.early_ms >= period_ms:
             self.early_ms = now_ms
             self.request_heartbeat(True)
@@ -359,18 +368,18 @@
                 exchange.collected_ms = now_ms
                 return Mode.COLLECTOR
         if since_told_ms <= self.silent_ms:
-            return Mode.TOLD
-        # A former collector keeps count until its successor tells the levels.
+            return Mode.FOLLOWER
+        # A former collector keeps count until its successor reports the levels.
         if now_ms - exchange.collected_ms <= self.silent_ms:
             return Mode.COLLECTOR
-        return Mode.ALONE
+        return Mode.ISOLATED
 
     def change_mode(self, mode: Mode, now_ms: float) -> None:
-        """Takes over the tokens as last told."""
+        """Takes over the tokens as last reported."""
         since_told_ms = now_ms - self.exchange.levels_heard_ms
-        if self.mode is Mode.TOLD or since_told_ms <= 2.0 * self.silent_ms:
+        if self.mode is Mode.FOLLOWER or since_told_ms <= 2.0 * self.silent_ms:
             for use in self.uses.values():
-                use.bucket.level = self.told_level(use, now_ms)
+                use.bucket.level = self.reported_level(use, now_ms)
                 use.bucket.updated_ms = now_ms
                 use.bucket.share = 1.0
             self.share = 1.0
@@ -380,9 +389,9 @@
 
     def current_share(self, now_ms: float) -> float:
         """Returns the share of the rates that this process counts for."""
-        if self.mode is Mode.TOLD:
+        if self.mode is Mode.FOLLOWER:
             return 1.0
         size = self.members.fleet_size(now_ms)
-        if self.mode is Mode.ALONE:
+        if self.mode is Mode.ISOLATED:
             return 1.0 / size
         return min(1.0, self.exchange.counted_processes(now_ms) / size)
--- a/src/lovageyoke/platform/entries.py
+++ b/src/lovageyoke/platform/entries.py
@@ -98,7 +98,6 @@
         raw["name"],
         raw.get("health_check", "/health"),
         decoding.integer(raw.get("max_connections", 0)),
-        cold_start_ms=_duration(raw, "cold_start", 0.0),
         # Zero would keep a cold upstream from warming up.
         cold_rate_per_s=raw.get("cold_per_s") or None,
     )
--- a/src/lovageyoke/routing/account_table.py
+++ b/src/lovageyoke/routing/account_table.py
@@ -39,7 +39,7 @@
     """Returns a digest that stands for an unknown key in the log.
 
     Built-in hashing is SipHash with a random key for each process; hashlib
-    would load OpenSSL, which takes 3.5 MB.
+    would load OpenSSL, which takes some megabytes.
 
     Args:
         salt: Random bytes that are never logged.
--- a/src/lovageyoke/routing/model.py
+++ b/src/lovageyoke/routing/model.py
@@ -132,8 +132,6 @@
         name: Its name.
         health_path: Path of its health check.
         max_connections: Connections that one upstream accepts in total.
-        cold_start_ms: Time for which an upstream is cold after its start, 0
-            if unknown.
         cold_rate_per_s: Requests per second that a cold upstream accepts from
             all processes together, None for no limit.
     """
@@ -141,7 +139,6 @@
     name: str
     health_path: str
     max_connections: int
-    cold_start_ms: float = 0.0
     cold_rate_per_s: float | None = None
 
 
--- a/tests/fakes/account_traffic.py
+++ b/tests/fakes/account_traffic.py
@@ -76,8 +76,8 @@
         node = process.node
         if process.paused or node.configuration is None:
             return
-        refuse_ms = node.quotas.refuse_ms(self.account.name)
-        times = self.admitted_ms if refuse_ms is None else self.refused_ms
+        try_admit = node.quotas.try_admit(self.account.name)
+        times = self.admitted_ms if try_admit is None else self.refused_ms
         times.append(self.fleet.clock.now_ms())
         if node.heartbeat_requested.is_set():
             node.heartbeat_requested.clear()
--- a/tests/limits/test_admission_decision.py
+++ b/tests/limits/test_admission_decision.py
@@ -70,7 +70,6 @@
             arrived_ms + arrival.give_up_ms,
             start,
             lambda: end(self.refused),
-            100.0,
             arrival.kind,
             arrival.account,
             arrival.waited_ms,
--- a/tests/limits/test_quota.py
+++ b/tests/limits/test_quota.py
@@ -97,12 +97,12 @@
 
 def test_tokens_told_long_ago_are_taken_for_used() -> None:
     # Guards against processes that all use the same tokens while no collector
-    # tells them more.
+    # reports more.
     use = use_of(0.0)
-    use.told_tokens, use.told_ms = 10.0, 0.0
+    use.reported_tokens, use.reported_ms = 10.0, 0.0
 
     def level(now_ms: float) -> float:
-        return use.told_level(
+        return use.reported_level(
             now_ms, heard_ms=0.0, oldest_ms=-500.0, horizon_ms=200.0
         )
 
--- a/tests/limits/test_shared_capacity.py
+++ b/tests/limits/test_shared_capacity.py
@@ -51,7 +51,7 @@
         key = shared_capacity.urgency(late, priority).key("s")
         counts.append((key, count))
     waiting = shared_capacity.Waiting.from_counts(counts, "s", own)
-    expected = shared_capacity.Waiting(total=17, in_time=10, ahead=2, level=3)
+    expected = shared_capacity.Waiting(total=17, ahead=2, level=3)
     assert_that(waiting, matchers.Equals(expected))
 
 
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -204,7 +204,6 @@
     raw["clusters"][0] |= {"cold_start": "3s", "cold_per_s": 5.0}
     configuration = entries.decode_configuration(json.dumps(raw).encode())
     service = configuration.services[raw["clusters"][0]["name"]]
-    assert_that(service.cold_start_ms, matchers.Equals(3_000.0))
     assert_that(service.cold_rate_per_s, matchers.Equals(5.0))
 
 
