--- a/tests/fleet/test_cold_upstreams.py
+++ b/tests/fleet/test_cold_upstreams.py
@@ -46,7 +46,7 @@
 
 def layout_with(cold_per_s: float | None) -> fleet_fake.fleet_layout.Layout:
     def decode_configuration(value: bytes) -> model.Configuration:
-        service = model.Service("maps", "/", 0, COLD_MS, cold_per_s)
+        service = model.Service("maps", "/", 0, cold_per_s)
         return attrs.evolve(
             conftest.decode_configuration(value), services={"maps": service}
         )
@@ -274,7 +274,7 @@
     # Guards against upstreams that are looked through with each request.
     fleet, _ = fleet_with_traffic(SIZES[0], upstreams=[])
     register(fleet, fleet.processes[2], cold_ms=500.0)
-    fleet.run(500.0 + scenarios.CHANGE_BOUND_MS + cold_starts.LINGER_MS)
+    fleet.run(500.0 + scenarios.CHANGE_BOUND_MS + cold_starts.REPORT_END_MS)
     for process in fleet.running():
         node = process.node
         node.cold_starts.expire(fleet.clock.now_ms())
