--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -11,7 +11,6 @@
 from lovageyoke.fleet import follower as fleet_follower
 from lovageyoke.fleet import layout as fleet_layout
 from lovageyoke.fleet import messages as fleet_messages
-from lovageyoke.fleet import registration as fleet_registration
 from lovageyoke.fleet import replica as fleet_replica
 from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import listener as hop_listener
@@ -21,6 +20,7 @@
 from lovageyoke.node import forwarder as node_forwarder
 from lovageyoke.node import messenger as node_messenger
 from lovageyoke.node import metrics as node_metrics
+from lovageyoke.node import presence as node_presence
 from lovageyoke.node import prober as node_prober
 from lovageyoke.node import reload as node_reload
 from lovageyoke.node import settings as node_settings
@@ -31,10 +31,6 @@
 
 CLEANUP_INTERVAL_MS = 1_000.0
 RELOAD_INTERVAL_MS = 5_000.0  # The settings file may change without a signal.
-LEASE_MS = 60_000.0  # For discovery only, not for failure detection.
-# During a start several processes may be collectors for a moment; none of
-# them registers before this delay.
-REGISTER_DELAY_MS = 2_000.0
 LAG_DECAY = 0.5  # Decay of the peak event loop lag per second.
 # Delay before a failed task is started again; doubles with each failure.
 RESTART_FIRST_MS = 100.0
@@ -63,6 +59,7 @@
         prober: Runs the health checks.
         metrics: Serves the metrics.
         messenger: Exchanges messages with the peers.
+        presence: Registers this process in the store and finds others there.
         ports: Ports of the listeners, in the order in which they were opened:
             callers, readiness, directory, metrics.
         connections: Connections of callers that send requests.
@@ -105,6 +102,9 @@
         )
         self.prober = node_prober.Prober(node)
         self.messenger = node_messenger.Messenger(node, self.follower)
+        self.presence = node_presence.Presence(
+            node, store, codecs, self.messenger
+        )
         self.metrics = node_metrics.MetricsPage(
             node,
             self.forwarder,
@@ -157,8 +157,8 @@
         """Returns the tasks of this process, each with its name."""
         return [
             ("follower", self.follower.run),
-            ("registration", self.run_registration),
-            ("discovery", self.run_discovery),
+            ("registration", self.presence.run_registration),
+            ("discovery", self.presence.run_discovery),
             ("prober", self.prober.run),
             ("messenger", self.messenger.run),
             ("clean-up", self.clean_up),
@@ -221,53 +221,6 @@
 
     # Tasks
 
-    async def run_registration(self) -> None:
-        """Registers this process in the store, see ``should_register``."""
-        node = self.node
-        peer = node.members.own.peer
-        registration = fleet_registration.Registration(
-            store=self.store,
-            key=self.codecs.node_prefix + peer.node_id,
-            value=self.codecs.encode_node(peer),
-            ttl_ms=max(LEASE_MS, node.settings.min_lease_ms),
-            clock=node.clock,
-            log=node.log,
-            rng=node.rng,
-        )
-        await registration.run(self.should_register)
-
-    async def run_discovery(self) -> None:
-        """Discovers peers in the store.
-
-        Collectors do so all the time; other processes only while they know
-        no live peer.
-        """
-        node = self.node
-        discovery = fleet_registration.PeerDiscovery(
-            store=self.store,
-            prefix=self.codecs.node_prefix,
-            decode=self.codecs.decode_node,
-            members=node.members,
-            clock=node.clock,
-            log=node.log,
-        )
-        await discovery.run()
-
-    def should_register(self) -> bool:
-        """Returns whether this process has to be registered in the store.
-
-        A collector registers on behalf of its failure domain. A process that
-        knows no live peer registers so that it can be discovered.
-        """
-        now_ms = self.node.clock.now_ms()
-        members = self.node.members
-        if now_ms - self.messenger.clock_started_ms < REGISTER_DELAY_MS:
-            return False
-        since_ms = members.collecting_since_ms
-        if since_ms is None:
-            return not members.live(now_ms)
-        return now_ms - since_ms >= REGISTER_DELAY_MS
-
     def broadcast_configuration(
         self, news: fleet_messages.ConfigurationUpdate, from_peer: bool
     ) -> None:
