Don't take a late write for the return of a removed upstream

Cause: a heartbeat is compared with the known entry, of which a removal kept the revision only; the late write has a newer one.

Change: fleet/lifetimes.py remembers removed lifetimes with the number seen and the one that may have been reached by then; it knows no revisions. An entry up to that number isn't used until it has stayed longer than late writes can explain. Gaps in the changes move out of the replica to fleet/missed_changes.py.

--- a/src/lovageyoke/fleet/codec.py
+++ b/src/lovageyoke/fleet/codec.py
@@ -10,6 +10,7 @@
 import attrs
 import cbor2
 
+from lovageyoke.fleet import lifetimes
 from lovageyoke.fleet import message_checks
 from lovageyoke.fleet import messages
 from lovageyoke.routing import model_checks
@@ -65,6 +66,10 @@
         ]
     if isinstance(message, messages.SnapshotRequest):
         return _SNAPSHOT_REQUEST, [message.revision]
+    if isinstance(message, messages.RemovedUpstreams):
+        return _REMOVED_UPSTREAMS, [
+            [list(attrs.astuple(each)) for each in message.lifetimes]
+        ]
     return _SNAPSHOT_PART, [
         message.revision,
         message.fresh_age_ms,
@@ -168,17 +173,34 @@
     )
 
 
+def _removed_upstreams(raw: list[Any]) -> messages.RemovedUpstreams:
+    return messages.RemovedUpstreams(tuple(_lifetime(*each) for each in raw[0]))
+
+
+def _lifetime(
+    upstream_id: object, started_ms: object, seen: object, reached: object
+) -> lifetimes.EndedLifetime:
+    return lifetimes.EndedLifetime(
+        _text(upstream_id),
+        decoding.integer(started_ms),
+        decoding.integer(seen),
+        decoding.integer(reached),
+    )
+
+
 _HEARTBEAT = 1
 _INTRODUCTION = 2
 _CONFIGURATION = 3
 _SNAPSHOT_REQUEST = 4
 _SNAPSHOT_PART = 5
+_REMOVED_UPSTREAMS = 6
 _DECODERS: dict[int, Callable[[list[Any]], messages.Message]] = {
     _HEARTBEAT: _heartbeat,
     _INTRODUCTION: _introduction,
     _CONFIGURATION: _configuration,
     _SNAPSHOT_REQUEST: _snapshot_request,
     _SNAPSHOT_PART: _snapshot_part,
+    _REMOVED_UPSTREAMS: _removed_upstreams,
 }
 
 
--- a/src/lovageyoke/fleet/messages.py
+++ b/src/lovageyoke/fleet/messages.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from lovageyoke.fleet import lifetimes
+
 
 @attrs.frozen
 class Peer:
@@ -269,10 +271,22 @@
     configuration_version: int = 0
 
 
+@attrs.frozen
+class RemovedUpstreams:
+    """Lifetimes of upstreams whose entries were removed.
+
+    Attributes:
+        lifetimes: The lifetimes that were removed last.
+    """
+
+    lifetimes: tuple[lifetimes.EndedLifetime, ...]
+
+
 Message = (
     Heartbeat
     | Introduction
     | ConfigurationUpdate
     | SnapshotRequest
     | SnapshotPart
+    | RemovedUpstreams
 )
--- a/src/lovageyoke/fleet/registry.py
+++ b/src/lovageyoke/fleet/registry.py
@@ -4,7 +4,9 @@
 never reverts to an older revision of a key. That a key is absent is known at
 a revision, too: a write from before that revision is obsolete. An entry that
 is deleted during or shortly after a store outage is retained until its
-upstream has had time to register again; evacuations end at once.
+upstream has had time to register again; evacuations end at once. An entry
+that a late write brings back after its removal is doubtful: it isn't used
+until it has stayed for longer than such a write can explain.
 """
 
 from __future__ import annotations
@@ -13,9 +15,10 @@
 from collections.abc import Iterable
 import math
 
-import attrs
-
 from lovageyoke.errors import exceptions
+from lovageyoke.fleet import entry_selection
+from lovageyoke.fleet import key_state
+from lovageyoke.fleet import lifetimes as fleet_lifetimes
 from lovageyoke.fleet import snapshot
 from lovageyoke.routing import model
 from lovageyoke.store import revisions
@@ -25,28 +28,6 @@
 MAX_TOMBSTONES = 2_000
 
 
-@attrs.define
-class KeyState:
-    """State of a key.
-
-    Attributes:
-        revision: Revision of its last change.
-        value: The upstream or the evacuation, None if the entry is invalid or
-            deleted.
-        deleted_ms: When the entry was deleted during a store outage; None if
-            it wasn't.
-    """
-
-    revision: int
-    value: model.Upstream | model.Evacuation | None = None
-    deleted_ms: float | None = None
-
-    @property
-    def upstream(self) -> model.Upstream | None:
-        """The upstream, None if there is none."""
-        return self.value if isinstance(self.value, model.Upstream) else None
-
-
 class Registry:
     """The entries of upstreams and evacuations, by key.
 
@@ -55,25 +36,36 @@
         known: State of each key; deleted keys are kept as tombstones with
             their revision.
         retained: Keys that were deleted during a store outage.
+        doubtful: Keys whose entries may result from a late write.
+        lifetimes: The lifetimes of upstreams that were removed.
         complete_revision: The state of every key is known at this revision;
             keys that aren't known were absent.
         outage_ms: When the store was last unavailable to the whole fleet.
         rejected: Number of invalid entries since the start.
+        late_writes: Number of late writes after a removal since the start.
         on_rejected: Called with the error detail of an invalid entry.
+        on_late_write: Called with the upstream of a late write that comes
+            after a removal.
     """
 
     def __init__(
         self,
         decode: Callable[[str, bytes], model.Upstream | model.Evacuation],
         on_rejected: Callable[[str], None] = lambda _: None,
+        on_late_write: Callable[[model.Upstream], None] = lambda _: None,
+        heartbeat_ms: float = fleet_lifetimes.HEARTBEAT_MS,
     ) -> None:
         self.decode = decode
-        self.known: dict[str, KeyState] = {}
+        self.known: dict[str, key_state.KeyState] = {}
         self.retained: set[str] = set()
+        self.doubtful: set[str] = set()
+        self.lifetimes = fleet_lifetimes.EndedLifetimes(heartbeat_ms)
         self.complete_revision = 0
         self.outage_ms = -math.inf
         self.rejected = 0
+        self.late_writes = 0
         self.on_rejected = on_rejected
+        self.on_late_write = on_late_write
 
     def record_outage(self, at_ms: float) -> None:
         """Records that the store was unavailable."""
@@ -89,27 +81,87 @@
         known_revision = known.revision if known is not None else 0
         return revision <= max(known_revision, self.complete_revision)
 
-    def put(self, key: str, value: bytes, revision: int) -> bool:
+    def put(self, key: str, value: bytes, revision: int, now_ms: float) -> bool:
         """Applies a write; returns whether the upstreams changed."""
         if self.is_obsolete(key, revision):
             return False
-        known = self.known.get(key)
-        before = known.value if known else None
         decoded: model.Upstream | model.Evacuation | None = None
         try:
             decoded = self.decode(key, value)
         except exceptions.DecodeError as error:
             self.rejected += 1
             self.on_rejected(error.detail)
-        if (
-            isinstance(decoded, model.Upstream)
-            and isinstance(before, model.Upstream)
-            and decoded.is_older_than(before)
-        ):
+        return self.accept(
+            key, key_state.KeyState(revision, decoded, received_ms=now_ms)
+        )
+
+    def accept(self, key: str, state: key_state.KeyState) -> bool:
+        """Accepts a key's new state; returns whether the upstreams changed.
+
+        Args:
+            key: The key.
+            state: Its state as written. It is doubtful already if another
+                process knows that it is.
+        """
+        known = self.known.get(key) or key_state.KeyState(0)
+        before = (known.in_use, known.doubtful_ms)
+        if isinstance(state.value, model.Upstream):
+            self.compare(known, state, state.value)
+        elif known.upstream is not None:
+            self.lifetimes.record(
+                known.upstream, known.received_ms, state.received_ms
+            )
+        self.known[key] = state
+        if state.doubtful_ms is not None:
+            self.doubtful.add(key)
+        return (state.in_use, state.doubtful_ms) != before
+
+    def compare(
+        self,
+        known: key_state.KeyState,
+        state: key_state.KeyState,
+        upstream: model.Upstream,
+    ) -> None:
+        """Adjusts a key's new state to what is known of its upstream.
+
+        Args:
+            known: The state before.
+            state: The new state.
+            upstream: The upstream of the new state.
+        """
+        previous = known.upstream
+        told_doubtful = state.doubtful_ms is not None
+        late = told_doubtful or self.lifetimes.is_late(upstream)
+        older = previous is not None and upstream.is_older_than(previous)
+        if previous is not None and (older or (late and known.is_registered)):
             # The store may do a late write of an upstream after a newer one.
-            decoded = before
-        self.known[key] = KeyState(revision, decoded)
-        return decoded != before
+            state.value = previous
+            state.received_ms = known.received_ms
+        elif previous is not None and upstream.key != previous.key:
+            self.lifetimes.record(
+                previous, known.received_ms, state.received_ms
+            )
+        if late and (told_doubtful or not known.is_registered):
+            self.doubt(known, state, upstream)
+        elif not late and not older:
+            self.lifetimes.forget(upstream)
+
+    def doubt(
+        self,
+        known: key_state.KeyState,
+        state: key_state.KeyState,
+        upstream: model.Upstream,
+    ) -> None:
+        """Marks a key's new state as that of a late write after a removal."""
+        self.late_writes += 1
+        self.on_late_write(upstream)
+        if state.doubtful_ms is None:
+            state.doubtful_ms = state.received_ms
+        if known.doubtful_ms is not None:
+            state.doubtful_ms = known.doubtful_ms
+        previous = known.upstream
+        if previous is not None and previous.key == upstream.key:
+            state.deleted_ms = known.deleted_ms
 
     def remove(self, key: str, revision: int, now_ms: float) -> bool:
         """Applies a deletion; returns whether the upstreams changed."""
@@ -117,13 +169,19 @@
             return False
         known = self.known.get(key)
         if known is None or known.value is None:
-            self.known[key] = KeyState(revision)
+            self.known[key] = key_state.KeyState(revision)
             return False
         known.revision = revision
-        if known.upstream is not None and self.in_outage(now_ms):
-            known.deleted_ms = now_ms
-            self.retained.add(key)
-            return False
+        was_doubtful = known.doubtful_ms is not None
+        known.doubtful_ms = None
+        if known.upstream is not None:
+            self.lifetimes.record(known.upstream, known.received_ms, now_ms)
+            if known.deleted_ms is not None:
+                return False
+            if self.in_outage(now_ms) and not was_doubtful:
+                known.deleted_ms = now_ms
+                self.retained.add(key)
+                return False
         known.value = None
         return True
 
@@ -133,7 +191,7 @@
         present = set()
         for item in listing.items:
             present.add(item.key)
-            changed |= self.put(item.key, item.value, item.revision)
+            changed |= self.put(item.key, item.value, item.revision, now_ms)
         return self.remove_missing(present, listing.revision, now_ms) or changed
 
     def entries(self) -> Iterable[snapshot.Entry]:
@@ -143,8 +201,10 @@
         deletion is not sent again, so a receiver would keep them forever.
         """
         for key, known in self.known.items():
-            if known.value is not None and known.deleted_ms is None:
-                yield snapshot.Entry(key, known.revision, known.value)
+            doubtful = known.doubtful_ms is not None
+            present = known.deleted_ms is None or doubtful
+            if known.value is not None and present:
+                yield snapshot.Entry(key, known.revision, known.value, doubtful)
 
     def apply_snapshot(self, whole: snapshot.Snapshot, now_ms: float) -> bool:
         """Applies a peer's snapshot; missing keys count as deleted.
@@ -157,10 +217,12 @@
         for entry in whole.entries:
             present.add(entry.key)
             if not self.is_obsolete(entry.key, entry.revision):
-                known = self.known.get(entry.key)
-                before = known.value if known else None
-                self.known[entry.key] = KeyState(entry.revision, entry.value)
-                changed |= entry.value != before
+                state = key_state.KeyState(
+                    entry.revision, entry.value, received_ms=now_ms
+                )
+                if entry.doubtful:
+                    state.doubtful_ms = now_ms
+                changed |= self.accept(entry.key, state)
         return self.remove_missing(present, whole.revision, now_ms) or changed
 
     def remove_missing(
@@ -176,8 +238,8 @@
         changed = False
         for key, known in list(self.known.items()):
             gone = key not in present and known.revision < revision
-            gone = gone and known.deleted_ms is None
-            if gone and known.value is not None:
+            was_present = known.deleted_ms is None or key in self.doubtful
+            if gone and was_present and known.value is not None:
                 changed |= self.remove(key, revision, now_ms)
         return changed
 
@@ -196,7 +258,8 @@
             elif not outage or now_ms - known.deleted_ms >= MAX_RETENTION_MS:
                 self.retained.discard(key)
                 known.deleted_ms = None
-                known.value = None
+                if known.doubtful_ms is None:
+                    known.value = None
                 changed = True
         if len(self.known) > MAX_TOMBSTONES:
             self.known = {
@@ -206,6 +269,29 @@
             }
         return changed
 
+    def confirm_doubtful(self, now_ms: float) -> list[model.Upstream]:
+        """Confirms the entries that have stayed longer than a late write can.
+
+        Returns:
+            Their upstreams.
+        """
+        confirmed = []
+        for key in list(self.doubtful):
+            known = self.known.get(key)
+            if known is None or known.doubtful_ms is None:
+                self.doubtful.discard(key)
+                continue
+            # The store doesn't remove entries during an outage.
+            since_ms = max(known.doubtful_ms, self.outage_ms)
+            if now_ms - since_ms < self.lifetimes.confirmation_ms:
+                continue
+            self.doubtful.discard(key)
+            known.doubtful_ms = None
+            if known.upstream is not None:
+                self.lifetimes.forget(known.upstream)
+                confirmed.append(known.upstream)
+        return confirmed
+
     def evacuated_domains(self) -> set[str]:
         """Returns the failure domains that are being evacuated."""
         return {
@@ -214,25 +300,11 @@
             if isinstance(each.value, model.Evacuation)
         }
 
-    def upstreams(self) -> Iterable[model.Upstream]:
+    def upstreams(self) -> list[model.Upstream]:
         """Returns the upstreams; only the newest entry of each address.
 
         Those in evacuated failure domains are marked.
         """
-        evacuated = self.evacuated_domains()
-        newest: dict[tuple[str, int], KeyState] = {}
-        for known in self.known.values():
-            upstream = known.upstream
-            if upstream is None:
-                continue
-            address = (upstream.host, upstream.port)
-            other = newest.get(address)
-            if other is None or other.revision < known.revision:
-                newest[address] = known
-        return [
-            attrs.evolve(each.upstream, evacuated=True)
-            if each.upstream.failure_domain in evacuated
-            else each.upstream
-            for each in newest.values()
-            if each.upstream is not None
-        ]
+        return entry_selection.select(
+            self.known.values(), self.lifetimes, self.evacuated_domains()
+        )
--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -15,7 +15,9 @@
 from lovageyoke.fleet import changes
 from lovageyoke.fleet import entry_log
 from lovageyoke.fleet import layout as fleet_layout
+from lovageyoke.fleet import lifetimes
 from lovageyoke.fleet import messages
+from lovageyoke.fleet import missed_changes
 from lovageyoke.fleet import registry as fleet_registry
 from lovageyoke.fleet import snapshot
 from lovageyoke.observe import events
@@ -26,6 +28,7 @@
 OUTAGE_MS = 2_000.0  # Without a confirmation of the revision by any process.
 MAX_STALENESS_MS = 600_000
 MAX_UPDATE_BYTES = 30_000  # A datagram holds twice as much.
+MAX_SENT_LIFETIMES = 500  # In one datagram.
 MAX_CONFIGURATION_BYTES = 8_000_000
 
 
@@ -50,9 +53,7 @@
         recent: The latest changes.
         assembler: Received parts of an incomplete snapshot.
         packed_snapshot: The last snapshot sent.
-        missing_revision: Changes up to this revision are known to exist; the
-            newest of them are missing while it exceeds ``revision``.
-        gap_ms: Since when changes are missing; None if there is no gap.
+        missed: The changes that are known to exist but are missing.
         outdated_ms: When a peer was first seen with a newer configuration;
             None if there is none.
         newest_version: Newest configuration version of any peer.
@@ -66,6 +67,7 @@
         on_configuration: Callable[[model.Configuration], None],
         on_upstreams: Callable[[list[model.Upstream]], None],
         broadcast: Callable[[messages.ConfigurationUpdate, bool], None],
+        heartbeat_ms: float = lifetimes.HEARTBEAT_MS,
     ) -> None:
         self.layout = layout
         self.log = log
@@ -74,7 +76,10 @@
         self.broadcast = broadcast
         self.entry_log = entry_log.EntryLog(log)
         self.registry = fleet_registry.Registry(
-            layout.decode_entry, self.entry_log.log_rejected
+            layout.decode_entry,
+            self.entry_log.log_rejected,
+            self.entry_log.log_late_write,
+            heartbeat_ms,
         )
         self.configuration: model.Configuration | None = None
         self.packed = b""
@@ -85,8 +90,7 @@
         self.recent = changes.RecentChanges()
         self.assembler = snapshot.SnapshotAssembler()
         self.packed_snapshot = snapshot.PackedSnapshot()
-        self.missing_revision = 0
-        self.gap_ms: float | None = None
+        self.missed = missed_changes.MissedChanges(log)
         self.outdated_ms: float | None = None
         self.newest_version = 0
 
@@ -109,7 +113,7 @@
             self.outdated_ms = None
         elif self.outdated_ms is None:
             self.outdated_ms = now_ms
-        for since_ms in (self.gap_ms, self.outdated_ms):
+        for since_ms in (self.missed.since_ms, self.outdated_ms):
             if since_ms is not None and now_ms - since_ms >= READ_GAP_MS:
                 return since_ms
         return None
@@ -130,6 +134,8 @@
     def expire_retained(self, now_ms: float) -> None:
         """Removes entries deleted in an outage and not registered again.
 
+        Doubtful entries that have stayed are confirmed.
+
         An outage is assumed if no process has confirmed the store's revision
         for ``OUTAGE_MS``.
         """
@@ -138,6 +144,11 @@
             self.registry.record_outage(now_ms)
         if self.registry.expire_retained(now_ms):
             self.upstreams_changed("settled")
+        confirmed = self.registry.confirm_doubtful(now_ms)
+        for each in confirmed:
+            self.entry_log.log_confirmed(each)
+        if confirmed:
+            self.upstreams_changed("confirmed")
 
     # From the store
 
@@ -172,7 +183,7 @@
         self.finish_loading(revision, changed, "listed", now_ms)
         if not stale:
             self.fresh_ms = now_ms
-            self.restart_gap(now_ms)
+            self.missed.restart(now_ms)
             self.outdated_ms = None
 
     def finish_loading(
@@ -181,9 +192,9 @@
         """Records that all entries were loaded at a revision."""
         advanced = revision > self.revision
         self.advance(revision)
-        self.close_gap(source, now_ms)
+        self.missed.end(source, self.revision, now_ms)
         if advanced:
-            self.restart_gap(now_ms)
+            self.missed.restart(now_ms)
         self.recent.reset(self.revision)
         if changed or not self.listed:
             self.listed = True
@@ -200,7 +211,7 @@
         for change in found.events:
             changed |= self.apply_event(change, now_ms)
         self.advance(found.revision)
-        self.close_gap("watched", now_ms)
+        self.missed.end("watched", self.revision, now_ms)
         if changed:
             self.upstreams_changed("watched")
 
@@ -216,41 +227,6 @@
         entry = messages.EntryChange(change.key, change.revision, change.value)
         return self.apply_change(entry, now_ms)
 
-    # Missing changes
-
-    def open_gap(self, heartbeat: messages.Heartbeat, now_ms: float) -> None:
-        """Records that changes before those of a heartbeat are missing."""
-        self.missing_revision = max(
-            self.missing_revision, heartbeat.since_revision
-        )
-        if self.gap_ms is not None:
-            return
-        self.gap_ms = now_ms
-        self.log.event(
-            "changes-missed",
-            revision=self.revision,
-            since=heartbeat.since_revision,
-            peer=heartbeat.sender.peer.node_id,
-            peer_revision=heartbeat.revision,
-        )
-
-    def close_gap(self, source: str, now_ms: float) -> None:
-        """Records that changes arrived; ends the gap if none are missing."""
-        if self.gap_ms is None or self.revision < self.missing_revision:
-            return
-        self.log.event(
-            "changes-complete",
-            source=source,
-            revision=self.revision,
-            after_ms=round(now_ms - self.gap_ms),
-        )
-        self.gap_ms = None
-
-    def restart_gap(self, now_ms: float) -> None:
-        """Counts what is still missing as a new gap, as the source answers."""
-        if self.gap_ms is not None:
-            self.gap_ms = now_ms
-
     # From other processes
 
     def apply_heartbeat(
@@ -263,7 +239,7 @@
         if not self.listed or heartbeat.revision == 0:
             return False
         if heartbeat.since_revision > self.revision:
-            self.open_gap(heartbeat, now_ms)
+            self.missed.begin(heartbeat, self.revision, now_ms)
             return False
         before = self.revision
         changed = False
@@ -272,7 +248,8 @@
                 changed |= self.apply_change(change, now_ms)
         if heartbeat.revision >= self.revision:
             self.advance(heartbeat.revision)
-            self.close_gap(heartbeat.sender.peer.node_id, now_ms)
+            source = heartbeat.sender.peer.node_id
+            self.missed.end(source, self.revision, now_ms)
             fresh_ms = now_ms - heartbeat.fresh_age_ms
             self.fresh_ms = max(self.fresh_ms, fresh_ms)
         if changed:
@@ -338,7 +315,16 @@
         parts = self.packed_snapshot.parts(
             self.registry.entries(), self.revision, version, age_ms, now_ms
         )
-        return [*([update] if update else []), *parts]
+        found: list[messages.Message] = [update] if update else []
+        removed = self.registry.lifetimes.newest(MAX_SENT_LIFETIMES)
+        if removed:
+            found.append(messages.RemovedUpstreams(removed))
+        return [*found, *parts]
+
+    def apply_removed(self, removed: messages.RemovedUpstreams) -> None:
+        """Applies the removals that a peer remembers."""
+        for each in removed.lifetimes:
+            self.registry.lifetimes.add(each)
 
     # Changes
 
@@ -349,7 +335,9 @@
         self.recent.add(change, now_ms)
         if change.value is None:
             return self.registry.remove(change.key, change.revision, now_ms)
-        return self.registry.put(change.key, change.value, change.revision)
+        return self.registry.put(
+            change.key, change.value, change.revision, now_ms
+        )
 
     def apply_configuration(
         self, value: bytes, revision: int, from_peer: bool = False
--- a/src/lovageyoke/fleet/snapshot.py
+++ b/src/lovageyoke/fleet/snapshot.py
@@ -41,11 +41,13 @@
         key: Key of the entry in the store.
         revision: Revision of its last change.
         value: The upstream or the evacuation that it names.
+        doubtful: Whether it may result from a late write after its removal.
     """
 
     key: str
     revision: int
     value: model.Upstream | model.Evacuation
+    doubtful: bool = False
 
 
 @attrs.frozen
@@ -184,16 +186,16 @@
 
 
 def _pack_entries(entries: Sequence[Entry]) -> bytes:
-    rows = [
-        [each.key, each.revision, _value_fields(each.value)] for each in entries
-    ]
+    rows = [[each.key, each.revision, _value_fields(each)] for each in entries]
     return zlib.compress(cbor2.dumps(rows), 1)
 
 
-def _value_fields(value: model.Upstream | model.Evacuation) -> object:
-    if isinstance(value, model.Evacuation):
-        return value.failure_domain
-    return list(attrs.astuple(value)[:_UPSTREAM_FIELDS])
+def _value_fields(entry: Entry) -> object:
+    if isinstance(entry.value, model.Evacuation):
+        return entry.value.failure_domain
+    fields = list(attrs.astuple(entry.value)[:_UPSTREAM_FIELDS])
+    # Earlier versions ignore what follows the fields of the upstream.
+    return [*fields, True] if entry.doubtful else fields
 
 
 @decoding.total("snapshot part")
@@ -207,12 +209,14 @@
 
 def _entry(key: str, revision: int, fields: list[Any] | str) -> Entry:
     value: model.Upstream | model.Evacuation
+    doubtful = False
     if isinstance(fields, str):
         value = model.Evacuation(decoding.text(fields))
     else:
         value = model_checks.check_upstream(
             model.Upstream(*fields[:_UPSTREAM_FIELDS])
         )
+        doubtful = fields[_UPSTREAM_FIELDS:] == [True]
     if not isinstance(key, str):
         raise ValueError("expected a text string")
-    return Entry(key, decoding.integer(revision), value)
+    return Entry(key, decoding.integer(revision), value, doubtful)
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -338,6 +338,8 @@
             self.replica.apply_configuration_update(message)
         elif isinstance(message, messages.SnapshotPart):
             self.replica.add_snapshot_part(message, now_ms)
+        elif isinstance(message, messages.RemovedUpstreams):
+            self.replica.apply_removed(message)
         else:
             for each in self.replica.snapshot_for(message, now_ms):
                 self.link.send(codec.encode(each), address, "snapshots")
--- a/src/lovageyoke/node/metrics.py
+++ b/src/lovageyoke/node/metrics.py
@@ -81,6 +81,7 @@
             "health_checks": self.prober.sent,
             "connections_opened": self.node.client.pool.opened,
             "entries_rejected": self.follower.replica.registry.rejected,
+            "late_writes": self.follower.replica.registry.late_writes,
             "log_lines": self.node.log.written,
             "heard_bytes": self.link.received_bytes,
             "malformed_messages": self.link.malformed,
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -88,6 +88,7 @@
             on_configuration=self.configuration_changed,
             on_upstreams=self.upstreams_changed,
             broadcast=self.broadcast_configuration,
+            heartbeat_ms=node.settings.upstream_heartbeat_ms,
         )
         self.follower = fleet_follower.Follower(
             store=store,
--- a/src/lovageyoke/node/settings.py
+++ b/src/lovageyoke/node/settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from lovageyoke.fleet import lifetimes
+
 FIRST_SEEDS = 2  # Seeds that read the store early at a start.
 
 
@@ -83,6 +85,7 @@
         store: Address of the store.
         min_lease_ms: Shortest lease that the store grants.
         bounds: Limits that apply to the whole deployment.
+        upstream_heartbeat_ms: Interval at which upstreams write their entries.
         seeds: Addresses of some peers, contacted to join the fleet.
         capacity_percent: CPU capacity of the VM, in percent of a core.
         memory_bytes: Memory that the process may use, 0 if unknown.
@@ -100,6 +103,7 @@
     store: Address
     min_lease_ms: float
     bounds: Bounds
+    upstream_heartbeat_ms: float = lifetimes.HEARTBEAT_MS
     seeds: tuple[Address, ...] = ()
     capacity_percent: int = 100
     memory_bytes: int = 0
--- a/src/lovageyoke/platform/settings.py
+++ b/src/lovageyoke/platform/settings.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from lovageyoke.errors import exceptions
+from lovageyoke.fleet import lifetimes
 from lovageyoke.node import settings
 from lovageyoke.platform import durations
 from lovageyoke.schema import decoding
@@ -67,6 +68,7 @@
                 raw["platform"].get("min_ttl", "1000ms")
             ),
             bounds=_bounds(raw.get("bounds", [])),
+            upstream_heartbeat_ms=_heartbeat_ms(raw),
             seeds=_seeds(raw),
             capacity_percent=_capacity_percent(raw.get("limits", {})),
             memory_bytes=_memory_bytes(raw.get("limits", {})),
@@ -95,6 +97,15 @@
     return tuple(settings.Address(host, port) for host in hosts)
 
 
+def _heartbeat_ms(raw: dict[str, Any]) -> float:
+    if "heartbeat" not in raw:
+        return lifetimes.HEARTBEAT_MS
+    interval_ms = durations.parse_duration_ms(raw["heartbeat"])
+    if interval_ms <= 0.0:
+        raise ValueError("the heartbeat interval is not positive")
+    return interval_ms
+
+
 def _capacity_percent(limits: dict[str, Any]) -> int:
     share = float(limits.get("cpu_share", 1.0))
     return max(1, round(100.0 * share * float(limits.get("cores", 1))))
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -65,8 +65,8 @@
 @pytest.fixture
 def registry() -> fleet_registry.Registry:
     made = fleet_registry.Registry(conftest.LAYOUT.decode_entry)
-    made.put("up/u1", b"x", 4)
-    made.put(KEY, b"{}", 5)
+    made.put("up/u1", b"x", 4, 0.0)
+    made.put(KEY, b"{}", 5, 0.0)
     return made
 
 
@@ -92,7 +92,7 @@
     registry.remove(KEY, 6, 0.0)
     evacuation = revisions.Item(KEY, b"{}", 5)
     registry.apply_listing(revisions.Listing((item, evacuation), 5), 0.0)
-    registry.put(KEY, b"{}", 5)
+    registry.put(KEY, b"{}", 5, 0.0)
     assert_that(registry.evacuated_domains(), matchers.Equals(set()))
 
 
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -25,7 +25,7 @@
 @pytest.fixture
 def registry() -> fleet_registry.Registry:
     made = fleet_registry.Registry(decode)
-    made.put("u1", b"h1", 5)
+    made.put("u1", b"h1", 5, 0.0)
     return made
 
 
@@ -37,7 +37,7 @@
     registry: fleet_registry.Registry,
 ) -> None:
     assert_that(registry.remove("u1", 4, 0.0), matchers.Equals(False))
-    assert_that(registry.put("u1", b"bad", 5), matchers.Equals(False))
+    assert_that(registry.put("u1", b"bad", 5, 0.0), matchers.Equals(False))
     assert_that(ids(registry), matchers.Equals(["u1"]))
 
 
@@ -45,14 +45,14 @@
     registry: fleet_registry.Registry,
 ) -> None:
     assert_that(registry.remove("u1", 7, 0.0), matchers.Equals(True))
-    assert_that(registry.put("u1", b"h1", 6), matchers.Equals(False))
+    assert_that(registry.put("u1", b"h1", 6, 0.0), matchers.Equals(False))
     assert_that(ids(registry), matchers.Equals([]))
 
 
 def test_an_invalid_entry_is_rejected(
     registry: fleet_registry.Registry,
 ) -> None:
-    registry.put("u2", b"bad", 6)
+    registry.put("u2", b"bad", 6, 0.0)
     assert_that(registry.rejected, matchers.Equals(1))
     assert_that(ids(registry), matchers.Equals(["u1"]))
 
@@ -103,12 +103,12 @@
         )
 
     registry = fleet_registry.Registry(decode_heartbeat)
-    registry.put("u1", b"7 4 ready", 5)
-    registry.put("u1", b"7 6 draining", 6)
-    registry.put("u1", b"7 5 ready", 7)
+    registry.put("u1", b"7 4 ready", 5, 0.0)
+    registry.put("u1", b"7 6 draining", 6, 0.0)
+    registry.put("u1", b"7 5 ready", 7, 0.0)
     (upstream,) = registry.upstreams()
     assert_that(upstream.draining, matchers.Equals(True))
-    registry.put("u1", b"9 1 ready", 8)
+    registry.put("u1", b"9 1 ready", 8, 0.0)
     (upstream,) = registry.upstreams()
     assert_that(upstream.draining, matchers.Equals(False))
 
@@ -118,7 +118,7 @@
 ) -> None:
     registry.record_outage(1_000.0)
     registry.remove("u1", 7, 1_100.0)
-    registry.put("u1", b"h1", 8)
+    registry.put("u1", b"h1", 8, 0.0)
     registry.expire_retained(1_000.0 + REREGISTER_MS)
     assert_that(ids(registry), matchers.Equals(["u1"]))
 
@@ -141,5 +141,5 @@
 def test_the_newest_entry_of_an_address_is_used(
     registry: fleet_registry.Registry,
 ) -> None:
-    registry.put("u9", b"h1", 6)
+    registry.put("u9", b"h1", 6, 0.0)
     assert_that(ids(registry), matchers.Equals(["u9"]))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -52,6 +52,19 @@
     assert_that(loaded.capacity_percent, matchers.Equals(215))
 
 
+def test_the_heartbeat_interval_of_upstreams_is_loaded(
+    file: pathlib.Path,
+) -> None:
+    default_ms = settings.load(file).upstream_heartbeat_ms
+    assert_that(default_ms, matchers.Equals(1_500.0))
+    file.write_text('heartbeat = "2s"' + FILE, encoding="utf-8")
+    stated_ms = settings.load(file).upstream_heartbeat_ms
+    assert_that(stated_ms, matchers.Equals(2_000.0))
+    file.write_text('heartbeat = "0s"' + FILE, encoding="utf-8")
+    with pytest.raises(exceptions.SettingsError):
+        settings.load(file)
+
+
 @pytest.mark.parametrize(
     "removed",
     ['node = "front-a-1"', "internal_ports = [7540, 7555]", "[listen]"],
