Answer every accepted request before a stopping process ends

Cause: in the first half of a stop every request is accepted; those in the admission queue wait for half of the time to their deadline, and attempts start if they meet the deadline. Neither knew when the process ends, and at the end all connections were aborted. The log lines of the lost requests say `wait` without `send`, which rules out a slow upstream or an answer that wasn't written.

Change: upstreams must have responded 0.1 s before the end. Selection, queueing, retries and hedges respect that; queued requests are refused as not run when a run couldn't end in time any more, while their callers can go elsewhere. What is unfinished at the end gets 503, or 502 with the outcome unknown, also when it waits behind another request of its connection or is still being received.

--- a/src/lovageyoke/errors/kinds.py
+++ b/src/lovageyoke/errors/kinds.py
@@ -32,6 +32,7 @@
     UPSTREAM_MISDIRECTED = "upstream-misdirected"
     UPSTREAM_FAILED = "upstream-failed"
     UPSTREAM_RESET = "upstream-reset"
+    STOPPED_UNFINISHED = "stopped-unfinished"
     UPSTREAM_SILENT = "upstream-silent"
     UPSTREAM_PROTOCOL = "upstream-protocol"
     RESPONSE_TRUNCATED = "response-truncated"
--- a/src/lovageyoke/errors/table.py
+++ b/src/lovageyoke/errors/table.py
@@ -128,6 +128,9 @@
     Kind.UPSTREAM_RESET: _unknown(
         502, "The upstream closed the connection", Retry.REPEATABLE
     ),
+    Kind.STOPPED_UNFINISHED: _unknown(
+        502, "This entry VM stopped before the upstream responded"
+    ),
     Kind.UPSTREAM_SILENT: _unknown(
         504, "The upstream connection went silent", Retry.REPEATABLE
     ),
--- a/src/lovageyoke/hop/connection_set.py
+++ b/src/lovageyoke/hop/connection_set.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lovageyoke.errors import kinds
 from lovageyoke.limits import memory_budget
 
 if typing.TYPE_CHECKING:
@@ -77,13 +78,25 @@
             return True
         idle = sorted(
             (each for each in live if each.idle()),
-            key=lambda each: each.read_timeout_s(),
+            key=lambda each: each.read_timer.end_s(),
         )
         for connection in idle[: int(len(idle) * EVICTED_SHARE) + 1]:
             self.evicted += 1
             connection.close()
         return bool(idle)
 
+    def reject_unfinished(self, kind: kinds.ErrorKind) -> None:
+        """Responds to the requests of which only a part has been received."""
+        for connection in list(self.open):
+            if connection.receiving:
+                connection.reject(kind)
+
+    def is_written(self) -> bool:
+        """Returns whether all requests are answered and nothing is unsent."""
+        return not any(
+            each.pipeline.exchanges or each.unsent_bytes() for each in self.open
+        )
+
     def close_idle(self) -> None:
         """Closes the connections that have no request in progress."""
         for connection in list(self.open):
--- a/src/lovageyoke/hop/server.py
+++ b/src/lovageyoke/hop/server.py
@@ -16,6 +16,7 @@
 from lovageyoke.hop import connection_set
 from lovageyoke.hop import messages
 from lovageyoke.hop import pipeline as request_pipeline
+from lovageyoke.hop import read_timer
 from lovageyoke.hop import request_parser
 from lovageyoke.hop import unread_timer
 from lovageyoke.limits import memory_budget
@@ -29,7 +30,11 @@
 # Time to discard the rest of a refused body.
 DISCARD_TIMEOUT_MS = 1_000.0
 BODY_REFUSALS = frozenset(
-    {kinds.ErrorKind.BODY_TOO_LARGE, kinds.ErrorKind.OVERLOADED}
+    {
+        kinds.ErrorKind.BODY_TOO_LARGE,
+        kinds.ErrorKind.LEAVING,
+        kinds.ErrorKind.OVERLOADED,
+    }
 )
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -80,7 +85,7 @@
         self.parsed_end = 0
         self.accepting = True
         self.pipeline = request_pipeline.Pipeline(self, handler)
-        self.read_timer: asyncio.TimerHandle | None = None
+        self.read_timer = read_timer.ReadTimer(self.on_read_timeout)
         self.receiving = False
         self.reading_paused = False
         self.continue_due = False
@@ -103,13 +108,13 @@
         self.unread_timer = unread_timer.UnreadTimer(self.transport)
         self.connections.add(self)
         # The time limit of a head starts with its first byte.
-        self.start_read_timer(self.handler.limits().idle_timeout_ms)
+        self.read_timer.start(self.handler.limits().idle_timeout_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the requests whose handler allows that."""
         del exc
         self.connections.open.discard(self)
-        self.stop_read_timer()
+        self.read_timer.stop()
         self.discard_input()
         self.writable.set()
         self.pipeline.drop()
@@ -175,7 +180,7 @@
         """Handles a request now or when those before it permit it."""
         if not self.accepting:
             return
-        self.stop_read_timer()
+        self.read_timer.stop()
         self.receiving = False
         self.continue_due = False
         self.pipeline.add(request, size)
@@ -196,7 +201,7 @@
         """
         if not self.accepting:
             return
-        self.stop_read_timer()
+        self.read_timer.stop()
         self.discard_input()
         self.lingers = kind in BODY_REFUSALS
         self.pipeline.add_response(answers.rejection(kind))
@@ -251,6 +256,12 @@
             or self.parser.in_message
         )
 
+    def unsent_bytes(self) -> int:
+        """Returns the bytes that wait to be sent."""
+        if self.transport is None or self.transport.is_closing():
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def discard_input(self) -> None:
         """Ignores all bytes that are not part of a received request."""
         self.accepting = False
@@ -274,7 +285,7 @@
             return
         self.start_unread_timer()
         self.finished = True
-        self.start_read_timer(DISCARD_TIMEOUT_MS)
+        self.read_timer.start(DISCARD_TIMEOUT_MS)
         try:
             self.transport.write_eof()
         except OSError:  # The caller has reset the connection.
@@ -292,7 +303,7 @@
             self.unparsed = b""
             if self.parser.in_message and not self.receiving:
                 self.receiving = True
-                self.start_read_timer(self.handler.limits().header_timeout_ms)
+                self.read_timer.start(self.handler.limits().header_timeout_ms)
         too_many = len(self.unparsed) - self.parsed_end > MAX_UNPARSED_BYTES
         if self.reading_paused == too_many or self.transport is None:
             return
@@ -318,7 +329,7 @@
         if self.unparsed:
             self.parse()
         elif idle and not self.receiving and self.accepting:
-            self.start_read_timer(self.handler.limits().idle_timeout_ms)
+            self.read_timer.start(self.handler.limits().idle_timeout_ms)
 
     # memory_budget.Holder
 
@@ -368,31 +379,12 @@
         if self.unread_timer is not None:
             self.unread_timer.start(self.handler.limits().idle_timeout_ms)
 
-    def read_timeout_s(self) -> float:
-        """Returns when the read timeout ends; an idle connection has one."""
-        return 0.0 if self.read_timer is None else self.read_timer.when()
-
-    def start_read_timer(self, timeout_ms: float) -> None:
-        """Closes the connection unless a complete request arrives in time."""
-        self.stop_read_timer()
-        loop = asyncio.get_running_loop()
-        self.read_timer = loop.call_later(
-            timeout_ms / 1_000.0, self.on_read_timeout
-        )
-
     def on_read_timeout(self) -> None:
         """Closes an idle connection or rejects a slow request."""
-        self.read_timer = None
         if self.receiving and self.unparsed:
             # The rest of the request waits for earlier responses to be read.
-            self.start_read_timer(self.handler.limits().header_timeout_ms)
+            self.read_timer.start(self.handler.limits().header_timeout_ms)
         elif self.receiving and not self.disconnected():
             self.reject(kinds.ErrorKind.REQUEST_TIMEOUT)
         else:
             self.close()
-
-    def stop_read_timer(self) -> None:
-        """Stops the read timeout."""
-        if self.read_timer is not None:
-            self.read_timer.cancel()
-            self.read_timer = None
--- a/src/lovageyoke/limits/admission_queue.py
+++ b/src/lovageyoke/limits/admission_queue.py
@@ -42,6 +42,7 @@
         kind: Name of its kind, usually of its route; empty if unknown.
         account: Name of its client account, None if it has none.
         waited_ms: Time that its caller spent on earlier tries.
+        run_ms: Expected duration of its run.
         displaced: Whether it was refused in favour of a more urgent request.
     """
 
@@ -54,6 +55,7 @@
     kind: str = ""
     account: str | None = None
     waited_ms: float = 0.0
+    run_ms: float = 0.0
     displaced: bool = False
 
     @property
@@ -270,6 +272,18 @@
             self.expired_by[queued_request.priority] += 1
             self._refuse(queued_request)
 
+    def end_waits_by(self, answers_due_ms: float, now_ms: float) -> None:
+        """Lets no request wait so long that it can't run before a time.
+
+        Args:
+            answers_due_ms: When all runs must have ended.
+            now_ms: The time.
+        """
+        for each in self.queued:
+            latest_ms = answers_due_ms - each.run_ms
+            each.give_up_ms = min(each.give_up_ms, latest_ms)
+        self.refuse_expired(now_ms)
+
     def record_start(self, now_ms: float) -> None:
         """Updates the mean interval between starts."""
         if self.last_start_ms is not None:
--- a/src/lovageyoke/limits/shutdown.py
+++ b/src/lovageyoke/limits/shutdown.py
@@ -28,6 +28,11 @@
         """When the process ends at the latest."""
         return self.started_ms + self.grace_ms - STOP_MARGIN_MS
 
+    @property
+    def answers_due_ms(self) -> float:
+        """When upstreams must have responded, so that callers are answered."""
+        return self.end_ms - ANSWER_MARGIN_MS
+
     @property
     def accepts_all_until_ms(self) -> float:
         """Until when every request is accepted."""
@@ -43,4 +48,4 @@
         """
         if now_ms < self.accepts_all_until_ms:
             return True
-        return deadline_ms + ANSWER_MARGIN_MS <= self.end_ms
+        return deadline_ms <= self.answers_due_ms
--- a/src/lovageyoke/node/admission.py
+++ b/src/lovageyoke/node/admission.py
@@ -49,13 +49,21 @@
         left_ms = race.sending.deadline_ms - now_ms
         if soonest_ms > left_ms:
             return self.overloaded()
+        until_stop_ms = race.selector.until_stop_ms(now_ms)
+        if soonest_ms > until_stop_ms:
+            return self.leaving()
         # A late request uses only capacity that is of no use to requests
         # that can still meet their target.
         if self.queue.starts_ahead(
             race.route.priority, race.selector.is_late(), now_ms
         ) and self.try_start(None, was_queued=False):
             return None
-        wait_ms = left_ms * admission_queue.MAX_WAIT_SHARE
+        wait_ms = min(
+            left_ms * admission_queue.MAX_WAIT_SHARE,
+            until_stop_ms - race.selector.run_ms,
+        )
+        if wait_ms <= 0.0:
+            return self.leaving()
         started: asyncio.Future[bool] = (
             asyncio.get_running_loop().create_future()
         )
@@ -73,6 +81,11 @@
         race.steps.extend(race.node.rate_limiter.story(race.service))
         return Kind.OVERLOADED
 
+    def leaving(self) -> kinds.ErrorKind:
+        """Returns the error if this process stops before a run would end."""
+        self.race.steps.append("no time before the stop")
+        return Kind.LEAVING
+
     def queued_request(
         self, started: asyncio.Future[bool], give_up_ms: float
     ) -> admission_queue.QueuedRequest:
@@ -100,6 +113,7 @@
             race.route.name,
             race.account,
             race.waited_ms,
+            race.selector.run_ms,
         )
 
     async def wait(
@@ -118,6 +132,9 @@
             self.queue.remove(request)
         reason = "displaced" if request.displaced else "expired"
         race.steps.append(f"{reason} priority={race.route.priority}")
+        now_ms = race.node.clock.now_ms()
+        if race.selector.until_stop_ms(now_ms) <= race.selector.run_ms:
+            return self.leaving()
         return Kind.OVERLOADED
 
     def try_start(
--- a/src/lovageyoke/node/outcomes.py
+++ b/src/lovageyoke/node/outcomes.py
@@ -39,6 +39,17 @@
     return Outcome(None, Kind.OVERLOADED)
 
 
+def at_stop(may_have_run: bool) -> Outcome:
+    """Returns the outcome of a request that is unfinished when a stop ends.
+
+    Args:
+        may_have_run: Whether an upstream may have run it or be running it.
+    """
+    return Outcome(
+        None, Kind.STOPPED_UNFINISHED if may_have_run else Kind.LEAVING
+    )
+
+
 def after_failures(
     kind: kinds.ErrorKind,
     failure: messages.Response | None,
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -15,9 +15,9 @@
 from lovageyoke.hop import api as hop_api
 from lovageyoke.hop import listener as hop_listener
 from lovageyoke.hop import server as hop_server
-from lovageyoke.limits import shutdown
 from lovageyoke.node import directory_handler
 from lovageyoke.node import forwarder as node_forwarder
+from lovageyoke.node import graceful_stop as node_stop
 from lovageyoke.node import messenger as node_messenger
 from lovageyoke.node import metrics as node_metrics
 from lovageyoke.node import presence as node_presence
@@ -64,6 +64,7 @@
             callers, readiness, directory, metrics.
         connections: Connections of callers that send requests.
         internal_connections: Connections to the other listeners.
+        graceful_stop: Stops this process.
         stopping: Set when the process has to stop.
     """
 
@@ -125,6 +126,9 @@
             budget=budget, most_open=int(most * INTERNAL_SHARE)
         )
         self.metrics.connections = self.connections
+        self.graceful_stop = node_stop.GracefulStop(
+            node, self.forwarder, self.connections, self.messenger
+        )
         self.stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -149,7 +153,7 @@
             for name, run in self.background_tasks()
         ]
         await self.stopping.wait()
-        await self.shut_down()
+        await self.graceful_stop.run()
         self.node.log.event("stop")
         for task in tasks:
             task.cancel()
@@ -298,11 +302,7 @@
 
     def stop(self) -> None:
         """Starts the shutdown."""
-        node = self.node
-        if node.shutdown is None:
-            node.shutdown = shutdown.Shutdown(
-                node.clock.now_ms(), node.settings.bounds.grace_ms
-            )
+        self.graceful_stop.begin()
         self.stopping.set()
 
     def reload(self) -> None:
@@ -332,23 +332,3 @@
         node.log.event(
             "reload", bounds_changed=changed, needs_restart=needs_restart
         )
-
-    async def shut_down(self) -> None:
-        """Shuts down gracefully.
-
-        Waits until callers have moved to other processes and the requests in
-        progress are completed, but not beyond the grace period.
-        """
-        node = self.node
-        stop = node.shutdown or shutdown.Shutdown(
-            node.clock.now_ms(), node.settings.bounds.grace_ms
-        )
-        node.log.event("stopping", connections=len(self.connections.open))
-        self.messenger.send_heartbeats()
-        while node.clock.now_ms() < stop.end_ms:
-            may_end = node.clock.now_ms() >= stop.accepts_all_until_ms
-            if may_end and not self.connections.open:
-                break
-            if may_end and self.connections.in_flight == 0:
-                self.connections.close_idle()
-            await node.clock.sleep_ms(20.0)
--- a/src/lovageyoke/node/race.py
+++ b/src/lovageyoke/node/race.py
@@ -51,6 +51,7 @@
         may_have_run: Whether an upstream may have run the request.
         last_kind: Error of the last failed attempt.
         last_response: The last error response of an upstream.
+        stopped: Whether this process ends now.
         steps: Steps of the request, for the log.
         admission: Starts the first attempt when there is capacity.
     """
@@ -89,6 +90,7 @@
         self.may_have_run = False
         self.last_kind: kinds.ErrorKind | None = None
         self.last_response: messages.Response | None = None
+        self.stopped = False
         self.steps: list[str] = []
         self.admission = admission.Admission(self)
 
@@ -108,6 +110,8 @@
             left_ms = self.sending.deadline_ms - self.node.clock.now_ms()
             if left_ms <= 0.0:
                 return self.deadline_outcome()
+            if self.stopped:
+                return outcomes.at_stop(self.was_sent())
             await asyncio.wait(
                 [each.task for each in self.running],
                 timeout=min(HEDGE_CHECK_INTERVAL_MS, left_ms) / MS_PER_SECOND,
--- a/src/lovageyoke/node/upstream_selector.py
+++ b/src/lovageyoke/node/upstream_selector.py
@@ -57,7 +57,24 @@
     @property
     def latest_start_ms(self) -> float:
         """Latest start that meets the target at an upstream of usual pace."""
-        return self.target_ms - placement.LATENCY_MARGIN * self.work.service_ms
+        return self.target_ms - self.run_ms
+
+    @property
+    def run_ms(self) -> float:
+        """Time to reserve for a run at an upstream of usual pace."""
+        return placement.LATENCY_MARGIN * self.work.service_ms
+
+    def until_stop_ms(self, now_ms: float) -> float:
+        """Returns the time until the runs of a stopping process must end."""
+        stop = self.node.shutdown
+        return math.inf if stop is None else stop.answers_due_ms - now_ms
+
+    def left_ms(self, now_ms: float) -> float:
+        """Returns the time until an upstream must have responded.
+
+        That is the deadline, or earlier if this process is about to stop.
+        """
+        return min(self.deadline_ms - now_ms, self.until_stop_ms(now_ms))
 
     def views(self) -> list[load_view.UpstreamView]:
         """Returns the upstreams that this process may use."""
@@ -107,11 +124,11 @@
         choices = self.estimate_all(tried)
         now_ms = self.node.clock.now_ms()
         candidates = placement.with_free_capacity(
-            choices, self.target_ms - now_ms
+            choices, min(self.target_ms - now_ms, self.until_stop_ms(now_ms))
         )
         if not candidates and now_ms > self.latest_start_ms:
             candidates = placement.with_free_capacity(
-                choices, self.deadline_ms - now_ms
+                choices, self.left_ms(now_ms)
             )
             if self.is_capacity_scarce(choices, now_ms):
                 candidates = placement.too_slow(
@@ -201,8 +218,8 @@
     def select_other(
         self, tried: Collection[tuple[str, int]]
     ) -> placement.Candidate | None:
-        """Returns an upstream for a retry or hedge that meets the deadline."""
-        left_ms = self.deadline_ms - self.node.clock.now_ms()
+        """Returns an upstream for a retry or hedge that responds in time."""
+        left_ms = self.left_ms(self.node.clock.now_ms())
         choices = placement.with_free_capacity(
             self.estimate_all(tried), left_ms
         )
--- a/tests/limits/test_admission_queue.py
+++ b/tests/limits/test_admission_queue.py
@@ -101,6 +101,21 @@
     assert_that(scene.started, matchers.Equals([]))
 
 
+def test_requests_that_would_outlast_a_stop_are_refused_in_time() -> None:
+    # Guards against queued requests that are cut at the end of the process.
+    scene = Scene()
+    long = scene.enter("long", give_up_ms=9_000.0)
+    long.run_ms = 800.0
+    scene.enter("short", give_up_ms=9_000.0)
+    scene.enter("hasty", give_up_ms=300.0)
+    scene.queue.end_waits_by(1_000.0, 200.0)
+    assert_that(scene.refused, matchers.Equals(["long"]))
+    scene.admit(300.0, free=0)
+    assert_that(scene.refused, matchers.Equals(["long", "hasty"]))
+    scene.admit(1_000.0, free=1)
+    assert_that(scene.refused, matchers.Equals(["long", "hasty", "short"]))
+
+
 def test_request_of_a_disconnected_caller_is_removed() -> None:
     scene = Scene()
     queued_request = scene.enter("gone")
--- a/tests/limits/test_shutdown.py
+++ b/tests/limits/test_shutdown.py
@@ -29,6 +29,11 @@
     assert_that(found, matchers.Equals(accepted))
 
 
+def test_upstreams_must_respond_before_the_end() -> None:
+    stop = shutdown.Shutdown(started_ms=0.0, grace_ms=6_000.0)
+    assert_that(stop.answers_due_ms, matchers.LessThan(stop.end_ms))
+
+
 def test_a_short_grace_leaves_time_to_refuse() -> None:
     stop = shutdown.Shutdown(started_ms=0.0, grace_ms=2_000.0)
     assert_that(stop.accepts(1_100.0, 2_000.0), matchers.Equals(False))
