Accept no key when the list of client accounts is empty

Cause: an empty list was decoded like an absent one, and without accounts no caller needs a key. The log shows that the version was in force; the line `configuration` now has the number of accounts, null without a list.

Change: Configuration.accounts is None without the field and a tuple with it. Callers need a key unless it is None, so no key is valid with an empty list; this needs no memory and holds after a restart. A field of another type is rejected.

The tests' configuration had an empty list where it meant no accounts; it now leaves the field out, so the tests of both cases check what they name.

--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -371,6 +371,9 @@
             version=configuration.version,
             revision=revision,
             routes=len(configuration.routes),
+            accounts=None
+            if configuration.accounts is None
+            else len(configuration.accounts),
         )
         self.on_configuration(configuration)
         update = self.configuration_update()
--- a/src/lovageyoke/node/forwarder.py
+++ b/src/lovageyoke/node/forwarder.py
@@ -218,7 +218,7 @@
             request,
             route.idempotent,
             request.arrived_ms + wait_ms,
-            None if self.node.accounts is None else name,
+            name if self.node.had_accounts else None,
         )
         waited_ms = self.node.caller_waits.record(
             route.name, caller_deadline_ms
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -60,7 +60,9 @@
         cold_starts: Limits the rate of cold upstreams.
         work: Work estimates of routes and services.
         table: The routes, None before a configuration is known.
-        accounts: The client accounts, None if callers need none.
+        accounts: The client accounts, None if callers need no API key.
+        had_accounts: Whether any configuration had client accounts. What
+            identifies a caller is not forwarded from then on.
         configuration: The current configuration.
         dealer: Picks the service for a route with a traffic split.
         caller_waits: Estimates how long callers have waited before.
@@ -131,6 +133,7 @@
         self.work = work_estimate.WorkEstimates()
         self.table: route_table.RouteTable | None = None
         self.accounts: account_table.AccountTable | None = None
+        self.had_accounts = False
         self.configuration: model.Configuration | None = None
         self.dealer = route_table.WeightedRoundRobin()
         self.caller_waits = caller_wait.CallerWaitEstimator()
@@ -190,18 +193,25 @@
         """Applies a new configuration."""
         self.configuration = configuration
         self.table = route_table.RouteTable(configuration.routes)
-        self.accounts = (
-            account_table.AccountTable(configuration.accounts)
-            if configuration.accounts
-            else None
-        )
-        self.quotas.apply_accounts(configuration.accounts)
+        self.apply_accounts(configuration.accounts)
         self.dealer.keep_only(configuration.routes)
         names = {each.name for each in configuration.routes}
         self.work.keep_only(names)
         self.caller_waits.keep_only(names)
         self.cold_starts.apply_services(configuration.services)
 
+    def apply_accounts(
+        self, accounts: tuple[model.ClientAccount, ...] | None
+    ) -> None:
+        """Applies the client accounts of a new configuration."""
+        self.accounts = None
+        if accounts is not None:
+            self.accounts = account_table.AccountTable(accounts)
+            self.had_accounts = True
+        elif self.had_accounts:
+            self.log.event("accounts-ended")
+        self.quotas.apply_accounts(accounts or ())
+
     def apply_upstreams(self, upstreams: list[model.Upstream]) -> None:
         """Applies a new list of upstreams."""
         before = set(self.loads.by_id)
--- a/src/lovageyoke/platform/entries.py
+++ b/src/lovageyoke/platform/entries.py
@@ -88,7 +88,7 @@
             routes,
             services,
             _limits(raw.get("limits", {})),
-            tuple(_account(each) for each in raw.get("tenants", [])),
+            _accounts(raw.get("tenants")),
         )
     )
 
@@ -103,6 +103,14 @@
     )
 
 
+def _accounts(raw: object) -> tuple[model.ClientAccount, ...] | None:
+    if raw is None:
+        return None
+    if not isinstance(raw, list):
+        raise ValueError("the client accounts are not a list")
+    return tuple(_account(each) for each in raw)
+
+
 def _account(raw: dict[str, Any]) -> model.ClientAccount:
     priority = raw.get("priority")
     api_keys = raw.get("api_keys", [])
--- a/src/lovageyoke/routing/model.py
+++ b/src/lovageyoke/routing/model.py
@@ -188,11 +188,12 @@
         routes: All routes.
         services: Services by name.
         limits: Limits on callers.
-        accounts: The client accounts; without any, callers need no API key.
+        accounts: The client accounts. With an empty tuple, no API key is
+            valid; with None, callers need none.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
-    accounts: tuple[ClientAccount, ...] = ()
+    accounts: tuple[ClientAccount, ...] | None = None
--- a/src/lovageyoke/routing/model_checks.py
+++ b/src/lovageyoke/routing/model_checks.py
@@ -56,7 +56,7 @@
             decoding.number(service.cold_rate_per_s, 0.0, MAX_RATE_PER_S)
     for route in configuration.routes:
         check_route(route, configuration.services)
-    check_accounts(configuration.accounts)
+    check_accounts(configuration.accounts or ())
     return configuration
 
 
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -30,7 +30,7 @@
 def configuration(
     version: int = 3,
     timeout: str = "2s",
-    accounts: Sequence[Mapping[str, object]] = (),
+    accounts: Sequence[Mapping[str, object]] | None = None,
 ) -> bytes:
     rules = [
         {
@@ -48,14 +48,14 @@
         }
         for kind, prefix in ROUTES
     ]
-    return json.dumps(
-        {
-            "version": f"r{version}",
-            "listeners": [{"host": "h.example", "rule_set": rules}],
-            "clusters": [{"name": "maps", "health_check": "/health"}],
-            "tenants": list(accounts),
-        }
-    ).encode()
+    fields: dict[str, object] = {
+        "version": f"r{version}",
+        "listeners": [{"host": "h.example", "rule_set": rules}],
+        "clusters": [{"name": "maps", "health_check": "/health"}],
+    }
+    if accounts is not None:
+        fields["tenants"] = list(accounts)
+    return json.dumps(fields).encode()
 
 
 class ProcessHarness:
--- a/tests/node/test_accounts.py
+++ b/tests/node/test_accounts.py
@@ -122,6 +122,41 @@
     assert_that(names, matchers.Equals([b"loom"]))
 
 
+async def test_an_empty_list_of_accounts_accepts_no_key(
+    accounts: conftest.ProcessHarness,
+) -> None:
+    # Guards against review/7: without accounts left, every key was accepted.
+    await configure(accounts, 5)
+    for headers in ([], [key("mill-1")], [key("never-held"), FORGED]):
+        answer = await accounts.send_request(headers=headers)
+        assert_that(answer.status_code, matchers.Equals(401))
+    assert_that(accounts.arrival_count(), matchers.Equals(0))
+    answer = await accounts.send_request("/load/x", headers=[key("mill-1")])
+    assert_that(answer.status_code, matchers.Equals(200))
+    assert_that(values(sent(accounts), b"api-key"), matchers.Equals([]))
+
+
+async def test_a_process_that_starts_with_an_empty_list_accepts_no_key(
+    harness: conftest.ProcessHarness,
+) -> None:
+    # Guards against a start that knows no version with accounts.
+    await configure(harness, 4)
+    answer = await harness.send_request(headers=[key("mill-1")])
+    assert_that(answer.status_code, matchers.Equals(401))
+
+
+async def test_keys_are_not_forwarded_after_the_last_account(
+    accounts: conftest.ProcessHarness,
+) -> None:
+    # Guards against keys that reach upstreams once no account is configured.
+    accounts.store.put("op/config", conftest.configuration(5))
+    await accounts.wait_until(lambda: accounts.version() == 5)
+    answer = await accounts.send_request(headers=[key("mill-1"), FORGED])
+    assert_that(answer.status_code, matchers.Equals(200))
+    assert_that(values(sent(accounts), b"api-key"), matchers.Equals([]))
+    assert_that(values(sent(accounts), b"x-tenant-id"), matchers.Equals([]))
+
+
 async def test_keys_change_with_the_configuration(
     accounts: conftest.ProcessHarness,
 ) -> None:
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -216,3 +216,21 @@
 def test_an_evacuation_without_a_valid_domain_is_rejected(domain):
     with pytest.raises(exceptions.DecodeError):
         entries.decode_evacuation(f"op/evacuate/{domain}")
+
+
+@pytest.mark.parametrize(
+    ("fields", "accounts"),
+    [({}, None), ({"tenants": None}, None), ({"tenants": []}, ())],
+)
+def test_an_empty_list_of_accounts_differs_from_none(fields, accounts):
+    value = json.dumps({**CONFIGURATION, **fields}).encode()
+    found = entries.decode_configuration(value).accounts
+    assert_that(found, matchers.Equals(accounts))
+
+
+@pytest.mark.parametrize("accounts", [{}, "", 0, False, {"mill": {}}])
+def test_accounts_of_another_type_are_rejected(accounts):
+    # Guards against a malformed field that means no accounts.
+    value = json.dumps({**CONFIGURATION, "tenants": accounts}).encode()
+    with pytest.raises(exceptions.DecodeError):
+        entries.decode_configuration(value)
