Treat responses with an invalid status as malformed

A request whose upstream answered with a status from 000 to 099 waited until its timeout; callers got answers with a status from 600 to 999 (MIXED, as users saw on other systems with 000).

Cause: hop/connection.py took every status below 200 for an interim response and every other one for a final response. transport/ accepts up to 999.

Change: schema/status.py names the valid ones for both, 100 to 599 without 101. Others fail the exchange at once as malformed and close the connection, so safe requests go elsewhere and unsafe ones get 502 with the outcome unknown. Health checks and calls to the store use the same connections.

--- a/src/lovageyoke/hop/connection.py
+++ b/src/lovageyoke/hop/connection.py
@@ -18,6 +18,7 @@
 from lovageyoke.hop import response_body
 from lovageyoke.hop import response_checks
 from lovageyoke.limits import memory_budget
+from lovageyoke.schema import status as http_status
 
 STREAMING_THRESHOLD_BYTES = response_body.STREAMING_THRESHOLD_BYTES
 MAX_HEAD_BYTES = 65_536
@@ -138,6 +139,9 @@
         if self.exchange is None or self.parser is None:
             return
         self.status = self.parser.get_status_code()
+        if not http_status.is_valid(self.status):
+            self.reject(f"invalid status {self.status:03}")
+            return
         if self.status < messages.FIRST_FINAL_STATUS:
             self.count_interim_response(self.exchange)
             return
--- a/src/lovageyoke/transport/h11_connection.py
+++ b/src/lovageyoke/transport/h11_connection.py
@@ -8,13 +8,13 @@
 
 from lovageyoke.errors import exceptions
 from lovageyoke.errors import kinds
+from lovageyoke.schema import status as http_status
 from lovageyoke.transport import api
 from lovageyoke.transport import sockets
 
 Kind = kinds.ErrorKind
 
 MAX_HEAD_BYTES = 65_536
-_SWITCHING_PROTOCOLS = 101
 _FRAMING = (b"content-length", b"transfer-encoding")
 _BODILESS_STATUSES = (204, 304)
 
@@ -78,6 +78,11 @@
         """
         while True:
             event = await self._next_event(Kind.UPSTREAM_RESET)
+            status = getattr(event, "status_code", None)
+            if status is not None and not http_status.is_valid(status):
+                raise exceptions.UpstreamError(
+                    f"invalid status {status}", Kind.UPSTREAM_PROTOCOL
+                )
             if isinstance(event, h11.Response):
                 return self._check_framing(
                     api.ResponseHead(event.status_code, tuple(event.headers))
@@ -87,10 +92,6 @@
                     "the connection closed before a response",
                     Kind.UPSTREAM_RESET,
                 )
-            if event.status_code == _SWITCHING_PROTOCOLS:
-                raise exceptions.UpstreamError(
-                    "unexpected protocol switch", Kind.UPSTREAM_PROTOCOL
-                )
 
     def _check_framing(self, head: api.ResponseHead) -> api.ResponseHead:
         # A body delimited by the connection's end is indistinguishable from
--- a/tests/hop/test_connection.py
+++ b/tests/hop/test_connection.py
@@ -149,6 +149,27 @@
     assert_that(raised.value.kind, matchers.Equals(Kind.UPSTREAM_PROTOCOL))
 
 
+@pytest.mark.parametrize("kept", [False, True], ids=["new", "kept"])
+@pytest.mark.parametrize(
+    "status", [b"000", b"042", b"099", b"101", b"600", b"999"]
+)
+async def test_a_response_with_an_invalid_status_is_an_error(
+    upstream: ScriptedUpstream,
+    connection: hop_connection.ClientConnection,
+    status: bytes,
+    kept: bool,
+) -> None:
+    # Guards against a status 000 that reaches the caller or is waited on.
+    invalid = response().replace(b"200", status)
+    upstream.script = [response(), invalid] if kept else [invalid]
+    if kept:
+        await exchange(connection)
+    with pytest.raises(exceptions.UpstreamError) as raised:
+        await exchange(connection)
+    assert_that(raised.value.kind, matchers.Equals(Kind.UPSTREAM_PROTOCOL))
+    assert_that(connection.usable(), matchers.Equals(False))
+
+
 async def test_close_delimited_body(
     upstream: ScriptedUpstream, connection: hop_connection.ClientConnection
 ) -> None:
--- a/tests/transport/test_pool.py
+++ b/tests/transport/test_pool.py
@@ -62,6 +62,22 @@
     assertions.assert_that([before, after], matchers.Equals([1, 0]))
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+async def test_a_response_with_an_invalid_status_is_an_error(clock, status):
+    # Guards against a status 000 that reaches the caller.
+    async def script(peer):
+        await peer.request()
+        await peer.send(scripted_upstream.OK.replace(b"200", status))
+        await peer.wait_until_closed()
+
+    async with running(clock, script) as (transport, target, _):
+        with pytest.raises(exceptions.UpstreamError) as raised:
+            await transport.send(target, GET, LATER_MS)
+    kind = kinds.ErrorKind.UPSTREAM_PROTOCOL
+    assertions.assert_that(raised.value.kind, matchers.Equals(kind))
+
+
 @pytest.mark.anyio
 async def test_a_connection_with_surplus_bytes_is_not_reused(clock):
     async def script(peer):
