Ask a peer for missed changes while a watch of the store waits

The follower takes one step at a time.

Test: test_missed_changes_are_requested_while_the_watch_waits fails before.

--- a/src/lovageyoke/fleet/follower.py
+++ b/src/lovageyoke/fleet/follower.py
@@ -178,6 +178,16 @@
         else:
             await self.read_all(stale=False)
 
+    def request_missed_changes(self) -> None:
+        """Requests a snapshot if changes are missing.
+
+        A call that waits for the store must not delay this.
+        """
+        now_ms = self.clock.now_ms()
+        is_behind = self.replica.behind_since_ms(now_ms) is not None
+        if self.replica.is_complete and is_behind:
+            self.request_snapshot(now_ms)
+
     def request_snapshot(self, now_ms: float) -> bool:
         """Sends a rate-limited snapshot request.
 
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -83,6 +83,7 @@
         while True:
             # The follower can't do this while it waits for the store.
             self.replica.expire_retained(self.node.clock.now_ms())
+            self.follower.request_missed_changes()
             self.send_heartbeats()
             gap_ms = max(
                 MIN_HEARTBEAT_GAP_MS, URGENT_SHARE * self.node.period_ms
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -252,6 +252,32 @@
     await harness.wait_until(lambda: "i-0" not in harness.node.loads.by_id)
 
 
+async def test_missed_changes_are_requested_while_the_watch_waits(
+    harness: conftest.ProcessHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a watch on a silent connection that keeps a process from
+    # asking its peers: an upstream got requests 2.3 s after it had left.
+    assert harness.process is not None
+    waiting = asyncio.Event()
+    requested = asyncio.Event()
+
+    async def watch(*_: object) -> None:
+        waiting.set()
+        await asyncio.Event().wait()
+
+    def send_request(_: object) -> bool:
+        requested.set()
+        return True
+
+    follower = harness.process.follower
+    monkeypatch.setattr(harness.process.store, "watch", watch)
+    monkeypatch.setattr(follower, "send_request", send_request)
+    await waiting.wait()
+    harness.process.replica.newest_version = harness.version() + 1
+    async with asyncio.timeout(conftest.WAIT_S):
+        await requested.wait()
+
+
 async def test_a_signal_reloads_the_bounds(
     harness: conftest.ProcessHarness,
 ) -> None:
