Keep a stated rate limit when an upstream's entry lapses and returns

An upstream whose entry was removed and written again (as after an outage of the store) got requests without its rate limit until its next answer.

Cause: the limit belonged to the view of the upstream, which a list without it drops. Change: LoadView keeps limits that were stated by start, at most 1,000, and a list that names the same start takes them back. A new start has none.

test_a_new_start_of_an_upstream_has_no_limit expected no limit after it had listed the same start again, against its name; it now checks that the same start keeps the limit and that a new start has none. test_the_limit_of_an_upstream_that_comes_back_holds fails before.

--- a/src/lovageyoke/node/rate_limiter.py
+++ b/src/lovageyoke/node/rate_limiter.py
@@ -193,13 +193,21 @@
             self.views[view.upstream.upstream_id] = view
         return view.rate_limit
 
-    def forget_removed(self) -> None:
-        """Forgets the upstreams, or their starts, that no longer exist."""
+    def apply_upstreams(self) -> None:
+        """Applies a new list of upstreams.
+
+        Starts that no longer exist are forgotten. The limit of one that has
+        come back holds again.
+        """
         known = self.loads.by_id
         for upstream_id, view in list(self.views.items()):
             if known.get(upstream_id) is not view:
                 del self.views[upstream_id]
         self.malformed &= known.keys()
+        for upstream_id, view in known.items():
+            if view.rate_limit is not None and upstream_id not in self.views:
+                self.views[upstream_id] = view
+                self.changes += 1
 
     # Messages
 
--- a/src/lovageyoke/node/state.py
+++ b/src/lovageyoke/node/state.py
@@ -220,7 +220,7 @@
         for upstream_id in before - set(self.loads.by_id):
             self.reports.drop(upstream_id)
         self.cold_starts.apply_entries()
-        self.rate_limiter.forget_removed()
+        self.rate_limiter.apply_upstreams()
 
     @property
     def configuration_version(self) -> int:
--- a/src/lovageyoke/routing/load_view.py
+++ b/src/lovageyoke/routing/load_view.py
@@ -21,6 +21,7 @@
 MIN_FAILURE_RATE = 0.001
 FAILURE_SMOOTHING = 0.3  # A few consecutive failures bring the rate near 1.
 MAX_UNANSWERED_PROBES = 2  # As many in a row mean a failure.
+MAX_FORMER_LIMITS = 1_000
 COLD_SLOWDOWN = 2.0  # Upstreams start at about half speed.
 MEAN_SLOWDOWN_SMOOTHING = 0.02  # Weight of one report.
 
@@ -208,6 +209,8 @@
         services: Views by service.
         by_id: View of the newest incarnation of each upstream id.
         by_short_id: The same by short id, where it is unique.
+        former_limits: Rate limits that removed incarnations have stated, the
+            oldest removal first.
         changes: Incremented when the list of upstreams changes.
     """
 
@@ -215,6 +218,9 @@
         self.services: dict[str, ServiceView] = {}
         self.by_id: dict[str, UpstreamView] = {}
         self.by_short_id: dict[int, UpstreamView] = {}
+        self.former_limits: dict[
+            tuple[str, int], routing_rate_limit.RateLimit
+        ] = {}
         self.changes = 0
 
     def replace_upstreams(
@@ -226,7 +232,7 @@
             for key in [
                 each for each in service.upstreams if each not in wanted
             ]:
-                del service.upstreams[key]
+                self.keep_limit(service.upstreams.pop(key))
         self.by_id = {}
         for upstream in wanted.values():
             self.upsert(upstream, now_ms)
@@ -239,6 +245,7 @@
         view = service.upstreams.get(upstream.key)
         if view is None:
             view = UpstreamView(upstream, now_ms)
+            view.rate_limit = self.former_limits.pop(upstream.key, None)
             view.record_entry(upstream, now_ms)
             service.upstreams[upstream.key] = view
         elif view.upstream != upstream:
@@ -250,6 +257,16 @@
                 view.record_entry(upstream, now_ms)
         self.by_id[upstream.upstream_id] = view
 
+    def keep_limit(self, view: UpstreamView) -> None:
+        """Keeps what a removed upstream has stated, as it may come back."""
+        limit = view.rate_limit
+        if limit is None or not limit.was_stated:
+            return
+        limit.cold_per_s = None  # The next entry states whether it is cold.
+        self.former_limits[view.upstream.key] = limit
+        while len(self.former_limits) > MAX_FORMER_LIMITS:
+            del self.former_limits[next(iter(self.former_limits))]
+
     def of_service(self, name: str) -> list[UpstreamView]:
         """Returns the views of a service's upstreams."""
         service = self.services.get(name)
--- a/tests/fleet/test_rate_limits.py
+++ b/tests/fleet/test_rate_limits.py
@@ -8,6 +8,7 @@
 
 import math
 
+import attrs
 import pytest
 from tests.fleet import scenarios
 from testtools import matchers
@@ -150,4 +151,8 @@
     assert_that(before.per_s, matchers.Equals(2.6))
     node.apply_upstreams([])
     node.apply_upstreams([view.upstream])
+    assert_that(node.loads.by_id[LIMITED].rate_limit, matchers.Is(before))
+    node.apply_upstreams([])
+    started_ms = view.upstream.started_ms + 1
+    node.apply_upstreams([attrs.evolve(view.upstream, started_ms=started_ms)])
     assert_that(node.loads.by_id[LIMITED].rate_limit, matchers.Is(None))
--- a/tests/node/test_rate_limiter.py
+++ b/tests/node/test_rate_limiter.py
@@ -6,6 +6,7 @@
 import math
 import os
 
+import attrs
 import httpx
 import pytest
 from tests.node import conftest
@@ -108,6 +109,24 @@
     assert_that(limiter.views, matchers.Equals({}))
 
 
+async def test_the_limit_of_an_upstream_that_comes_back_holds(
+    harness: conftest.ProcessHarness,
+) -> None:
+    # Guards against requests without a limit after an entry has lapsed.
+    set_limits(harness, b"1000")
+    await harness.send_request()
+    node = harness.node
+    upstreams = [each.upstream for each in node.loads.by_id.values()]
+    node.apply_upstreams([])
+    node.apply_upstreams(upstreams)
+    assert_that(node.rate_limiter.limited_count(), matchers.Equals(1))
+    started_again = [
+        attrs.evolve(each, started_ms=each.started_ms + 1) for each in upstreams
+    ]
+    node.apply_upstreams(started_again)
+    assert_that(node.rate_limiter.limited_count(), matchers.Equals(0))
+
+
 def check_windows(arrived_s: list[float], per_s: float) -> None:
     """Checks the users' bound on requests in any four seconds."""
     for index, end_s in enumerate(arrived_s):
