Let no remembered removal hide a heartbeat of a registered upstream

It would have kept an upstream in use that had said it was draining.

Cause: the remembered removals were asked before the order of the sequence numbers. Change: writes of a start that is registered are ordered by their numbers alone.

test_a_removal_that_a_peer_remembers_hides_no_later_heartbeat fails before.

--- a/src/lovageyoke/fleet/registry.py
+++ b/src/lovageyoke/fleet/registry.py
@@ -131,9 +131,18 @@
         """
         previous = known.upstream
         told_doubtful = state.doubtful_ms is not None
-        late = told_doubtful or self.lifetimes.is_late(upstream)
+        # The sequence alone orders the writes of a start that is registered.
+        continues = (
+            previous is not None
+            and known.is_registered
+            and previous.key == upstream.key
+        )
+        late = told_doubtful or (
+            not continues and self.lifetimes.is_late(upstream)
+        )
         older = previous is not None and upstream.is_older_than(previous)
-        if previous is not None and (older or (late and known.is_registered)):
+        hides = late and known.is_registered and not told_doubtful
+        if previous is not None and (older or hides):
             # The store may do a late write of an upstream after a newer one.
             state.value = previous
             state.received_ms = known.received_ms
@@ -141,7 +150,7 @@
             self.lifetimes.record(
                 previous, known.received_ms, state.received_ms
             )
-        if late and (told_doubtful or not known.is_registered):
+        if late and not hides:
             self.doubt(known, state, upstream)
         elif not late and not older:
             self.lifetimes.forget(upstream)
@@ -238,7 +247,9 @@
         changed = False
         for key, known in list(self.known.items()):
             gone = key not in present and known.revision < revision
-            was_present = known.deleted_ms is None or key in self.doubtful
+            was_present = (
+                known.deleted_ms is None or known.doubtful_ms is not None
+            )
             if gone and was_present and known.value is not None:
                 changed |= self.remove(key, revision, now_ms)
         return changed
--- a/tests/fleet/test_lifetimes.py
+++ b/tests/fleet/test_lifetimes.py
@@ -284,6 +284,24 @@
     assert_that(used_ids(current), matchers.HasLength(len(SERVICE)))
 
 
+def test_a_removal_that_a_peer_remembers_hides_no_later_heartbeat(
+    log: events.EventLog,
+) -> None:
+    # Guards against an upstream that drains but has been removed before.
+    replica = new_replica(log)
+    read_all(replica)
+    write(replica, b"7 4 ready", 5)
+    ended = fleet_lifetimes.EndedLifetime("up/u1", 7, 4, 20)
+    replica.apply_removed(messages.RemovedUpstreams((ended,)))
+    write(replica, b"7 5 draining", 6)
+    draining = [
+        each.upstream_id
+        for each in replica.registry.upstreams()
+        if each.draining
+    ]
+    assert_that(draining, matchers.Equals(["up/u1"]))
+
+
 def test_a_removal_holds_when_revisions_are_given_out_again(
     log: events.EventLog,
 ) -> None:
