--- a/src/lovageyoke/limits/account_uses.py
+++ b/src/lovageyoke/limits/account_uses.py
@@ -27,8 +27,6 @@
 KEPT_FILL_TIMES = 2.0
 MS_PER_SECOND = 1_000.0
 
-Uses = dict[str, account_use.AccountUse]
-
 
 class AccountUses:
     """The accounts with a limit, and their use.
@@ -49,7 +47,7 @@
         self.number_of = number_of
         self.rng = rng
         self.accounts: dict[str, model.ClientAccount] = {}
-        self.by_name: Uses = {}
+        self.by_name: dict[str, account_use.AccountUse] = {}
         self.by_number: dict[int, account_use.AccountUse] = {}
         self.removed: list[str] = []
         self.known_ms: float | None = None
@@ -118,7 +116,7 @@
             self.rng.random(),
             self.rng.random(),
         )
-        for former in self.former_names(account):
+        for former in self.former_uses(account):
             level = level_of(former)
             use.bucket.level = min(use.bucket.level, level)
             # Its followers take this for the collector's first report.
@@ -126,7 +124,7 @@
             use.reported_ms = now_ms
         return use
 
-    def former_names(
+    def former_uses(
         self, account: model.ClientAccount
     ) -> list[account_use.AccountUse]:
         """Returns the uses of removed accounts that had one of the keys."""
