--- a/tests/fleet/test_lifetimes.py
+++ b/tests/fleet/test_lifetimes.py
@@ -239,14 +239,20 @@
     return sorted(each.upstream_id for each in replica.registry.upstreams())
 
 
+@pytest.fixture
+def sender(log: events.EventLog) -> fleet_replica.Replica:
+    """A replica that knows of a removal at revision 6."""
+    made = new_replica(log)
+    read_all(made)
+    write(made, b"7 4 ready", 5)
+    write(made, None, 6)
+    return made
+
+
 def test_a_process_that_starts_learns_of_removals_from_its_peer(
-    log: events.EventLog,
+    log: events.EventLog, sender: fleet_replica.Replica
 ) -> None:
     # Guards against a start between a removal and a late write.
-    sender = new_replica(log)
-    read_all(sender)
-    write(sender, b"7 4 ready", 5)
-    write(sender, None, 6)
     receiver = new_replica(log)
     transfer(sender, receiver)
     write(receiver, b"7 3 ready", 7)
@@ -254,13 +260,9 @@
 
 
 def test_a_process_that_starts_does_not_take_a_late_write_for_an_upstream(
-    log: events.EventLog,
+    log: events.EventLog, sender: fleet_replica.Replica
 ) -> None:
     # Guards against a start after a late write.
-    sender = new_replica(log)
-    read_all(sender)
-    write(sender, b"7 4 ready", 5)
-    write(sender, None, 6)
     write(sender, b"7 3 ready", 7)
     receiver = new_replica(log)
     transfer(sender, receiver)
@@ -268,20 +270,16 @@
 
 
 def test_a_peer_that_missed_a_removal_does_not_undo_it(
-    log: events.EventLog,
+    log: events.EventLog, sender: fleet_replica.Replica
 ) -> None:
     behind = new_replica(log)
     read_all(behind)
     write(behind, b"7 4 ready", 5)
-    current = new_replica(log)
-    read_all(current)
-    write(current, b"7 4 ready", 5)
-    write(current, None, 6)
     # Its snapshot is newer only by a revision that is given out again.
     behind.advance(9)
     behind.registry.known["up/u1"].revision = 8
-    transfer(behind, current)
-    assert_that(used_ids(current), matchers.HasLength(len(SERVICE)))
+    transfer(behind, sender)
+    assert_that(used_ids(sender), matchers.HasLength(len(SERVICE)))
 
 
 def test_a_removal_that_a_peer_remembers_hides_no_later_heartbeat(
@@ -303,16 +301,12 @@
 
 
 def test_a_removal_holds_when_revisions_are_given_out_again(
-    log: events.EventLog,
+    log: events.EventLog, sender: fleet_replica.Replica
 ) -> None:
     # Guards against a store that comes back from an older copy.
-    replica = new_replica(log)
-    read_all(replica)
-    write(replica, b"7 4 ready", 90)
-    write(replica, None, 91)
     restored = new_replica(log)
-    for each in replica.registry.lifetimes.newest(1):
+    for each in sender.registry.lifetimes.newest(1):
         restored.registry.lifetimes.add(each)
     read_all(restored)
-    write(restored, b"7 3 ready", 40)
+    write(restored, b"7 3 ready", 4)
     assert_that(used_ids(restored), matchers.HasLength(len(SERVICE)))
