--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -13,6 +13,7 @@
 
 from lovageyoke.errors import exceptions
 from lovageyoke.fleet import codec
+from lovageyoke.fleet import lifetimes
 from lovageyoke.fleet import messages
 
 PEER = messages.Peer("front-1", "10.1.0.1", 7540, "10.1.0.1:80", "a")
@@ -100,6 +101,9 @@
         messages.Introduction((messages.MemberState(PEER, 4),)),
         messages.ConfigurationUpdate(3, 4, b"packed"),
         messages.SnapshotRequest(7),
+        messages.RemovedUpstreams(
+            (lifetimes.EndedLifetime("i-1", 1_786_149_753_000, 4, 9),)
+        ),
         messages.SnapshotPart(7, 20, 2**32 - 1, 1, 3, b"packed"),
     ]
 )
