--- a/src/lovageyoke/fleet/collectors.py
+++ b/src/lovageyoke/fleet/collectors.py
@@ -68,13 +68,8 @@
     """
     if _is_isolated(members, now_ms, started_ms):
         return False
-    # A process that is leaving is no candidate, so all others precede it.
-    own_rank = _LAST_RANK if members.own.leaving else _rank(members.own)
-    position = bisect.bisect_left(
-        _ranked(members, members.domain),
-        own_rank,
-        key=lambda each: _rank(each.state),
-    )
+    own_rank = _own_rank(members)
+    position = own_position(members)
     if position == 0:
         return True
     heard_ms = started_ms
@@ -85,6 +80,32 @@
     return now_ms - heard_ms > SILENT_MS + RANK_DELAY_MS * delays
 
 
+def own_position(members: fleet_members.Members) -> int:
+    """Returns how many processes precede this one as its domain's collector."""
+    return bisect.bisect_left(
+        _ranked(members, members.domain),
+        _own_rank(members),
+        key=lambda each: _rank(each.state),
+    )
+
+
+def silent_ms(members: fleet_members.Members, now_ms: float) -> int | None:
+    """Returns for how long no collector of the domain was heard, None if ever.
+
+    A collector that was never heard is not known.
+    """
+    heard = [
+        each.collector_heard_ms
+        for each in _recent_collectors(members, members.domain)
+    ]
+    return round(now_ms - max(heard)) if heard else None
+
+
+def _own_rank(members: fleet_members.Members) -> tuple[int, int, str]:
+    # A process that is leaving is no candidate, so all others precede it.
+    return _LAST_RANK if members.own.leaving else _rank(members.own)
+
+
 def _recent_collectors(
     members: fleet_members.Members, domain: str
 ) -> list[fleet_member.Member]:
--- a/src/lovageyoke/fleet/follower.py
+++ b/src/lovageyoke/fleet/follower.py
@@ -202,7 +202,6 @@
         ):
             return False
         self.requested_ms = now_ms
-        self.log.event("snapshot-requested", revision=self.replica.revision)
         return True
 
     def should_watch(self, now_ms: float) -> bool:
--- a/src/lovageyoke/fleet/link.py
+++ b/src/lovageyoke/fleet/link.py
@@ -56,6 +56,15 @@
         self.received += 1
         self.on_message(message, addr)
 
+    @property
+    def backlog_bytes(self) -> int:
+        """Bytes of datagrams that wait in this process to be sent."""
+        if self.transport is None or self.transport.is_closing():
+            return 0
+        # A datagram transport has this method too, but not its type.
+        transport = typing.cast("asyncio.WriteTransport", self.transport)
+        return transport.get_write_buffer_size()
+
     def send(self, datagram: bytes, address: Address, audience: str) -> None:
         """Sends a datagram without delivery guarantee.
 
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -173,7 +173,12 @@
         if must_collect:
             self.local_states.queue_all()
             self.remote_states.queue_all()
-        self.node.log.event("collecting", collecting=must_collect)
+        self.node.log.event(
+            "collecting",
+            collecting=must_collect,
+            rank=collectors.own_position(members),
+            silent_ms=collectors.silent_ms(members, now_ms),
+        )
 
     def queue_changed_states(self) -> None:
         """Queues changed member states for a collector's next heartbeats.
@@ -308,6 +313,11 @@
         if self.snapshot_source is None:
             return False
         self.link.send(codec.encode(request), self.snapshot_source, "snapshots")
+        self.node.log.event(
+            "snapshot-requested",
+            revision=request.revision,
+            peer=self.snapshot_source[0],
+        )
         return True
 
     # Receiving
@@ -342,8 +352,28 @@
         elif isinstance(message, messages.RemovedUpstreams):
             self.replica.apply_removed(message)
         else:
-            for each in self.replica.snapshot_for(message, now_ms):
-                self.link.send(codec.encode(each), address, "snapshots")
+            self.send_snapshot(message, address, now_ms)
+
+    def send_snapshot(
+        self,
+        request: messages.SnapshotRequest,
+        address: fleet_link.Address,
+        now_ms: float,
+    ) -> None:
+        """Answers a snapshot request."""
+        datagrams = [
+            codec.encode(each)
+            for each in self.replica.snapshot_for(request, now_ms)
+        ]
+        for datagram in datagrams:
+            self.link.send(datagram, address, "snapshots")
+        self.node.log.event(
+            "snapshot-sent",
+            peer=address[0],
+            revision=self.replica.revision,
+            requested=request.revision,
+            bytes=sum(map(len, datagrams)),
+        )
 
     def receive_heartbeat(
         self,
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -18,6 +18,7 @@
 from lovageyoke.node import directory_handler
 from lovageyoke.node import forwarder as node_forwarder
 from lovageyoke.node import graceful_stop as node_stop
+from lovageyoke.node import link_usage
 from lovageyoke.node import messenger as node_messenger
 from lovageyoke.node import metrics as node_metrics
 from lovageyoke.node import presence as node_presence
@@ -62,6 +63,7 @@
         presence: Registers this process in the store and finds others there.
         ports: Ports of the listeners, in the order in which they were opened:
             callers, readiness, directory, metrics.
+        link_usage: Logs when messages to peers use much of the VM's link.
         connections: Connections of callers that send requests.
         internal_connections: Connections to the other listeners.
         graceful_stop: Stops this process.
@@ -126,6 +128,12 @@
             budget=budget, most_open=int(most * INTERNAL_SHARE)
         )
         self.metrics.connections = self.connections
+        self.link_usage = link_usage.LinkUsage(
+            self.messenger.link,
+            node.settings.link_bytes_per_s,
+            node.log,
+            node.clock.now_ms(),
+        )
         self.graceful_stop = node_stop.GracefulStop(
             node, self.forwarder, self.connections, self.messenger
         )
@@ -244,7 +252,7 @@
             self.node.admit_queued()
 
     async def clean_up(self) -> None:
-        """Periodically measures the event loop lag and expires old state.
+        """Periodically measures lag and link usage, and expires old state.
 
         Idle upstream connections are closed and members that are gone are
         removed.
@@ -262,6 +270,7 @@
             self.node.client.pool.expire(now_ms)
             self.node.members.forget_gone(now_ms)
             self.node.quotas.end_limiting()
+            self.link_usage.check(now_ms)
 
     async def poll_settings(self) -> None:
         """Rereads the settings file periodically, without a signal."""
--- a/src/lovageyoke/node/settings.py
+++ b/src/lovageyoke/node/settings.py
@@ -90,6 +90,7 @@
         capacity_percent: CPU capacity of the VM, in percent of a core.
         memory_bytes: Memory that the process may use, 0 if unknown.
         max_descriptors: File descriptors that it may open, 0 if unknown.
+        link_bytes_per_s: Bandwidth of the VM's network link, 0 if unknown.
     """
 
     node_id: str
@@ -108,6 +109,7 @@
     capacity_percent: int = 100
     memory_bytes: int = 0
     max_descriptors: int = 0
+    link_bytes_per_s: float = 0.0
 
     @property
     def is_seed(self) -> bool:
--- a/src/lovageyoke/platform/settings.py
+++ b/src/lovageyoke/platform/settings.py
@@ -16,6 +16,7 @@
 METRICS_PORT = 9_464  # Matches the metrics address in the deploy file.
 PATH_VARIABLE = "LOVAGEYOKE_NODE_FILE"
 BYTES_PER_MB = 1_000_000
+BYTES_PER_MBIT = 125_000
 
 
 def path() -> pathlib.Path:
@@ -73,6 +74,7 @@
             capacity_percent=_capacity_percent(raw.get("limits", {})),
             memory_bytes=_memory_bytes(raw.get("limits", {})),
             max_descriptors=int(raw.get("limits", {}).get("max_fds", 0)),
+            link_bytes_per_s=_link_bytes_per_s(raw.get("limits", {})),
         )
     # A field of another type raises whatever its use raises.
     except Exception as error:
@@ -115,6 +117,10 @@
     return max(0, int(float(limits.get("memory_mb", 0)) * BYTES_PER_MB))
 
 
+def _link_bytes_per_s(limits: dict[str, Any]) -> float:
+    return max(0.0, float(limits.get("link_mbps", 0.0)) * BYTES_PER_MBIT)
+
+
 def _bounds(texts: list[str]) -> settings.Bounds:
     values = dict(text.split("=", 1) for text in texts)
     default = settings.Bounds()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -27,6 +27,7 @@
 [limits]
 cpu_share = 0.717
 cores = 3
+link_mbps = 200
 [platform]
 address = "10.200.1.7:8541"
 min_ttl = "1000ms"
@@ -50,6 +51,7 @@
     seeds = [str(each) for each in loaded.seeds]
     assert_that(seeds, matchers.Equals(["10.1.0.34:7540", "10.2.0.9:7540"]))
     assert_that(loaded.capacity_percent, matchers.Equals(215))
+    assert_that(loaded.link_bytes_per_s, matchers.Equals(25_000_000.0))
 
 
 def test_the_heartbeat_interval_of_upstreams_is_loaded(
