--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import heapq
 import itertools
 import math
@@ -11,6 +12,7 @@
 
 import attrs
 
+from fakes import links
 from fakes import manual_clock
 from fakes import nodes
 from fakes import revision_store
@@ -63,6 +65,9 @@
         self.node_id = f"vm-{index}"
         self.domain = domain
         self.capacity = capacity
+        self.link_bytes_per_s = fleet.link_bytes_per_s(capacity)
+        self.uplink = links.Link(self.link_bytes_per_s)
+        self.downlink = links.Link(self.link_bytes_per_s)
         self.is_running = False
         self.paused = False
         self.incarnation = 0
@@ -90,6 +95,7 @@
                 peers=node_settings.Address(*self.address),
                 seeds=self.fleet.seeds,
                 capacity_percent=self.capacity,
+                link_bytes_per_s=self.link_bytes_per_s,
             ),
             clock=clock,
             rng=random.Random(self.node_id),  # noqa: S311
@@ -256,6 +262,8 @@
         heard_bytes: Bytes received by address.
         start_spread_ms: Time within which processes start.
         store: The store; None if the processes don't run their followers.
+        links: Bandwidth of a VM's link in bytes per second, by capacity in
+            percent of a core; links of other VMs are unlimited.
     """
 
     def __init__(
@@ -271,6 +279,7 @@
         large_each: int = 3,
         start_spread_ms: float = 300.0,
         store: virtual_time.SharedStore | None = None,
+        links: Mapping[int, float] | None = None,
     ) -> None:
         self.layout = layout
         self.clock = manual_clock.ManualClock(1_000.0)
@@ -284,6 +293,7 @@
         self.period_ms = period_ms
         self.start_spread_ms = start_spread_ms
         self.store = store
+        self.links = links or {}
         self.cut: Cut = lambda sender, receiver: False
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.order = itertools.count()
@@ -306,6 +316,9 @@
         self.by_address[process.address] = process
         return process
 
+    def link_bytes_per_s(self, capacity: int) -> float:
+        return self.links.get(capacity, 0.0)
+
     def schedule(self, after_ms: float, action: Callable[[], None]) -> None:
         due_ms = self.clock.now_ms() + after_ms
         heapq.heappush(self.queue, (due_ms, next(self.order), action))
@@ -315,9 +328,34 @@
         self.sent_bytes[sender] = sent + len(data)
         if self.cut(sender, receiver) or self.rng.random() < self.loss:
             return
+        now_ms = self.clock.now_ms()
+        sent_ms = self.by_address[sender].uplink.carry(len(data), now_ms)
+        if sent_ms is None:
+            return
         for _ in range(2 if self.rng.random() < self.duplicates else 1):
-            delay_ms = self.rng.uniform(0.1, self.delay_ms)
-            self.schedule(delay_ms, self.delivery_task(sender, data, receiver))
+            delay_ms = sent_ms - now_ms + self.rng.uniform(0.1, self.delay_ms)
+            self.schedule(delay_ms, self.arrival_task(sender, data, receiver))
+
+    def arrival_task(
+        self, sender: Address, data: bytes, receiver: Address
+    ) -> Callable[[], None]:
+        """Returns the passage of a datagram over the receiver's link."""
+
+        def arrive() -> None:
+            process = self.by_address.get(receiver)
+            if process is None:
+                return
+            now_ms = self.clock.now_ms()
+            through_ms = process.downlink.carry(len(data), now_ms)
+            if through_ms is None:
+                return
+            deliver = self.delivery_task(sender, data, receiver)
+            if through_ms == now_ms:
+                deliver()
+            else:
+                self.schedule(through_ms - now_ms, deliver)
+
+        return arrive
 
     def delivery_task(
         self, sender: Address, data: bytes, receiver: Address
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -33,7 +33,7 @@
     if value == b"bad":
         raise exceptions.DecodeError("bad entry")
     name = key.removeprefix("up/")
-    draining = value == b"draining"
+    draining = value.rstrip() == b"draining"
     # Distinct names have distinct addresses.
     host = str(ipaddress.IPv4Address(zlib.crc32(name.encode())))
     return model.Upstream(name, 1, "maps", host, 80, "a", 6, draining)
