Contact all candidates while a failure domain has no collector

What callers saw: requests to upstreams that had said they leave, beyond the bound, from VMs of one failure domain.

Cause: without a collector each process sends to the two best candidates and to one of the rest, in turn. The turn is the count of its own heartbeats, which is about the same everywhere as all start together. The others hear nobody, count themselves as isolated, and don't take over.

Change: each begins at another candidate, by the hash of its name. Ruled out: a wider set of fixed candidates, as the known ranking may be outdated.

Result: test_every_candidate_is_contacted_while_nobody_collects fails before (6 of more than 60) and passes.

--- a/src/lovageyoke/fleet/collectors.py
+++ b/src/lovageyoke/fleet/collectors.py
@@ -217,7 +217,8 @@
 
     Without an active collector any of the best candidates may take over, but
     their known ranking may be outdated. One of the remaining candidates is
-    therefore added in round-robin order.
+    therefore added in round-robin order. Each process begins at another one,
+    so that all candidates hear from peers and none considers itself isolated.
     """
     ranked = _ranked(members, domain)
     found = [
@@ -234,7 +235,8 @@
     rest = ranked[COLLECTORS:]
     chosen = ranked[:COLLECTORS]
     if rest:
-        chosen.append(rest[turn % len(rest)])
+        start = fleet_members.hash_of(members.own.peer.node_id)
+        chosen.append(rest[(start + turn) % len(rest)])
     return [each.peer for each in chosen]
 
 
--- a/tests/fleet/test_collectors.py
+++ b/tests/fleet/test_collectors.py
@@ -57,6 +57,21 @@
     assert_that(collects, matchers.Equals(False))
 
 
+def test_every_candidate_is_contacted_while_nobody_collects(
+    heartbeat_of: conftest.HeartbeatOf,
+) -> None:
+    heartbeats = [heartbeat_of(f"n{index}") for index in range(82)]
+    contacted = set()
+    for own in heartbeats:
+        made = fleet_members.Members(own.sender)
+        for each in heartbeats:
+            made.apply_heartbeat(each, 0.0)
+        for turn in range(3):
+            peers = collectors.local_targets(made, turn, 0.0)
+            contacted.update(each.node_id for each in peers)
+    assert_that(len(contacted), matchers.GreaterThan(60))
+
+
 def test_a_leaving_or_slow_collector_is_replaced_immediately(
     members: fleet_members.Members, heartbeat_of: conftest.HeartbeatOf
 ) -> None:
