Let few processes of a domain take over as collectors at once

Cause: a process takes over after a delay that grows with its rank, up to the seventh. All others of the domain take over at that same moment, each sends heartbeats to all, and what they send keeps them from hearing one another.

Evidence: 47 processes of one domain log that they collect within one second after 2,000 ms of silence, 59 to 62 collect in the two seconds after.

Change: after the seventh, each further delay of 250 ms lets as many take over as all before, so a domain of 82 needs 3,000 ms for all.

Result: test_not_all_of_a_large_domain_take_over_at_once fails before (82 of 82 at 2,001 ms) and passes (fewer than 8, 14 at 2,251 ms, 28 at 2,501 ms).

--- a/src/lovageyoke/fleet/collectors.py
+++ b/src/lovageyoke/fleet/collectors.py
@@ -19,7 +19,7 @@
 SILENT_MS = 500.0  # A collector is replaced after this time without messages.
 ISOLATED_MS = 500.0  # A collector that receives nothing for longer steps down.
 RANK_DELAY_MS = 250.0  # Additional takeover delay per rank.
-MAX_RANK_DELAYS = 6
+SINGLE_TAKEOVERS = 7  # Ranks that take over one by one.
 COLLECTORS = 2  # The standby receives all heartbeats, ready to take over.
 STANDBY_EVERY = 8  # Other domains send every 8th heartbeat to the standby.
 GONE_EVERY = 25  # Every 25th heartbeat is also sent to gone processes.
@@ -76,8 +76,20 @@
     for member in _recent_collectors(members, members.domain):
         if _rank(member.state) < own_rank:
             heard_ms = max(heard_ms, member.collector_heard_ms)
-    delays = min(position - 1, MAX_RANK_DELAYS)
-    return now_ms - heard_ms > SILENT_MS + RANK_DELAY_MS * delays
+    delay_ms = RANK_DELAY_MS * _takeover_delays(position)
+    return now_ms - heard_ms > SILENT_MS + delay_ms
+
+
+def _takeover_delays(position: int) -> int:
+    """Returns the delays after which a process may take over.
+
+    The first take over one by one; of the others, each further delay lets as
+    many take over as all before. Without this, the whole rest of a large
+    domain would take over at once.
+    """
+    if position <= SINGLE_TAKEOVERS:
+        return position - 1
+    return SINGLE_TAKEOVERS - 1 + (position // SINGLE_TAKEOVERS).bit_length()
 
 
 def own_position(members: fleet_members.Members) -> int:
--- a/tests/fleet/test_collectors.py
+++ b/tests/fleet/test_collectors.py
@@ -57,6 +57,32 @@
     assert_that(collects, matchers.Equals(False))
 
 
+@pytest.mark.parametrize(
+    ("after_ms", "most"),
+    [(SILENT_MS + 1.0, 2), (2_001.0, 8), (2_251.0, 14), (2_501.0, 28)],
+)
+def test_not_all_of_a_large_domain_take_over_at_once(
+    state_of: conftest.StateOf,
+    heartbeat_of: conftest.HeartbeatOf,
+    after_ms: float,
+    most: int,
+) -> None:
+    heartbeats = [heartbeat_of(f"n{index}") for index in range(82)]
+    fleet = []
+    for own in heartbeats:
+        made = fleet_members.Members(own.sender)
+        first = heartbeat_of("first", capacity=215, collecting=True)
+        made.apply_heartbeat(first, 0.0)
+        for each in heartbeats:
+            made.apply_heartbeat(each, 0.0)
+        made.apply_heartbeat(heartbeat_of("near", capacity=1), after_ms)
+        fleet.append(made)
+    collecting = [
+        each for each in fleet if collectors.should_collect(each, after_ms, 0.0)
+    ]
+    assert_that(len(collecting), matchers.LessThan(most))
+
+
 def test_every_candidate_is_contacted_while_nobody_collects(
     heartbeat_of: conftest.HeartbeatOf,
 ) -> None:
