Keep messages to peers within a share of the VM's link

What callers saw: requests reached upstreams that had said they leave after the bound of 2,500 ms, and versions were not in force in time, each at VMs of one failure domain.

Cause: a collector sends to all processes of its domain, up to 66 times a second, what has changed, whatever its link carries. A small VM that collects sends 5.7 to 18.5 times its link's rate in a second.

Ruled out: a late event loop (the clean-up of these VMs ran after 1,001 to 1,010 ms), a source that answers nothing newer.

Change: a budget of half of the link. A heartbeat waits until what was sent before is within it, at most 200 ms, and is kept to a size that allows that. Requests go to the peer with the newest replica, then to the live peers with most capacity, in turn, and name the revision that is missed, so that a peer without it doesn't answer. An assertion of test_a_missed_change_is_requested_and_then_read names that revision now.

In the fake fleet a watch of the store returns at a change, and missed changes are requested while it waits, as in the real process.

--- a/src/lovageyoke/fleet/changes.py
+++ b/src/lovageyoke/fleet/changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterable
 
 from lovageyoke.fleet import messages
 
@@ -36,13 +37,17 @@
         self.since = revision
 
     def for_heartbeat(
-        self, revision: int, now_ms: float
+        self,
+        revision: int,
+        now_ms: float,
+        max_bytes: float = MAX_CHANGES_BYTES,
     ) -> tuple[int, tuple[messages.EntryChange, ...]]:
         """Returns the changes to include in the next heartbeat.
 
         Args:
             revision: The revision up to which all changes are known.
             now_ms: The time.
+            max_bytes: Size of the changes to include.
 
         Returns:
             The revision after which all changes are included, and these
@@ -56,8 +61,8 @@
         since = revision
         size = 0
         for _, change in reversed(self.buffer):
-            size += len(change.key) + len(change.value or b"") + OVERHEAD_BYTES
-            if size > MAX_CHANGES_BYTES:
+            size += size_of((change,))
+            if size > min(max_bytes, MAX_CHANGES_BYTES):
                 # Several changes may have one revision.
                 return max(since, change.revision), tuple(chosen)
             chosen.insert(0, change)
@@ -68,3 +73,11 @@
         """Drops the oldest buffered change."""
         _, change = self.buffer.popleft()
         self.since = change.revision
+
+
+def size_of(changes: Iterable[messages.EntryChange]) -> int:
+    """Returns about how many bytes changes take in a message."""
+    return sum(
+        len(each.key) + len(each.value or b"") + OVERHEAD_BYTES
+        for each in changes
+    )
--- a/src/lovageyoke/fleet/follower.py
+++ b/src/lovageyoke/fleet/follower.py
@@ -197,9 +197,9 @@
         """
         if now_ms - self.requested_ms < REQUEST_GAP_MS:
             return True
-        if not self.send_request(
-            messages.SnapshotRequest(self.replica.revision)
-        ):
+        # An answer without the missed changes would only use the links.
+        revision = max(self.replica.revision, self.replica.missed.revision)
+        if not self.send_request(messages.SnapshotRequest(revision)):
             return False
         self.requested_ms = now_ms
         return True
--- a/src/lovageyoke/fleet/link.py
+++ b/src/lovageyoke/fleet/link.py
@@ -8,6 +8,7 @@
 
 from lovageyoke.errors import exceptions
 from lovageyoke.fleet import codec
+from lovageyoke.fleet import link_budget
 from lovageyoke.fleet import messages
 
 Address = tuple[str, int]
@@ -19,6 +20,7 @@
     Attributes:
         on_message: Called with each message and its sender's address.
         on_rejected: Called with the error detail of an invalid datagram.
+        budget: Records what is sent.
         transport: The transport, None before it is open.
         received: Messages received since the start.
         received_bytes: Their bytes.
@@ -30,9 +32,11 @@
         self,
         on_message: Callable[[messages.Message, Address], None],
         on_rejected: Callable[[str], None],
+        budget: link_budget.LinkBudget,
     ) -> None:
         self.on_message = on_message
         self.on_rejected = on_rejected
+        self.budget = budget
         self.transport: asyncio.DatagramTransport | None = None
         self.received = 0
         self.received_bytes = 0
@@ -75,5 +79,6 @@
         """
         if self.transport is not None and not self.transport.is_closing():
             self.transport.sendto(datagram, address)
+            self.budget.record(len(datagram))
             sent = self.sent_bytes.get(audience, 0)
             self.sent_bytes[audience] = sent + len(datagram)
--- a/src/lovageyoke/fleet/state_updates.py
+++ b/src/lovageyoke/fleet/state_updates.py
@@ -43,15 +43,20 @@
         return len(self.transmissions.pending) + len(self.members.changed_ids)
 
     def next_states(
-        self, round_robin: bool
+        self, round_robin: bool, limit: int | None = None
     ) -> tuple[messages.MemberState, ...]:
         """Returns the states for the next message.
 
         Args:
             round_robin: Whether to add states in round-robin order.
+            limit: Maximum number of changed states, None for
+                ``MAX_CHANGED_STATES``.
         """
-        node_ids = self.transmissions.take(MAX_CHANGED_STATES)
-        if round_robin and len(node_ids) < BUSY_STATES:
+        most = MAX_CHANGED_STATES
+        if limit is not None:
+            most = min(most, limit)
+        node_ids = self.transmissions.take(most)
+        if round_robin and len(node_ids) < min(BUSY_STATES, most):
             node_ids.extend(
                 self.transmissions.take_round_robin(
                     [
--- /dev/null
+++ b/src/lovageyoke/node/heartbeats.py
@@ -0,0 +1,153 @@
+"""Composes the heartbeats of a process."""
+
+from __future__ import annotations
+
+import attrs
+
+from lovageyoke.fleet import changes as fleet_changes
+from lovageyoke.fleet import messages
+from lovageyoke.fleet import queue_counts
+from lovageyoke.fleet import replica as fleet_replica
+from lovageyoke.fleet import state_updates
+from lovageyoke.node import state as node_state
+
+MAX_REMOTE_REPORTS = 100  # Load reports per message to other failure domains.
+ROUND_ROBIN_EVERY = 2  # Heartbeats per one that repeats unchanged states.
+# Approximate encoded sizes, by which a heartbeat is kept within a limit.
+BASE_BYTES = 200.0
+STATE_BYTES = 80.0
+REPORT_BYTES = 12.0
+CHANGES_SHARE = 0.5  # Of the bytes that a limited heartbeat has.
+STATES_SHARE = 0.5  # Of the bytes that the changes leave.
+
+
+class Heartbeats:
+    """Composes heartbeats from the state of the process.
+
+    Attributes:
+        node: Shared state of the process.
+        replica: Local replica of the store.
+        local_count: Number of heartbeats for the own failure domain.
+        remote_count: Number of those for the other failure domains.
+        local_states: Member states to send within the own failure domain.
+        remote_states: Member states to send to the other domains' collectors.
+    """
+
+    def __init__(
+        self, node: node_state.NodeState, replica: fleet_replica.Replica
+    ) -> None:
+        self.node = node
+        self.replica = replica
+        self.local_count = 0
+        self.remote_count = 0
+        self.local_states = state_updates.StateUpdates(node.members, False)
+        self.remote_states = state_updates.StateUpdates(node.members, True)
+
+    def queue_all_states(self) -> None:
+        """Queues the states of all processes, as a new collector does."""
+        self.local_states.queue_all()
+        self.remote_states.queue_all()
+
+    def queue_changed_states(self) -> None:
+        """Queues changed member states for a collector's next heartbeats.
+
+        Other processes learn of these changes from a collector only.
+        """
+        members = self.node.members
+        changed, members.changed_ids = members.changed_ids, set()
+        if members.collecting_since_ms is not None:
+            self.local_states.queue(changed)
+            self.remote_states.queue(changed)
+
+    def local(self, now_ms: float, max_bytes: float) -> messages.Heartbeat:
+        """Returns the heartbeat for the own failure domain.
+
+        Args:
+            now_ms: The time.
+            max_bytes: About how large it may be. What doesn't fit is sent
+                with later heartbeats, except changes, which peers request.
+        """
+        members = self.node.members
+        collecting = members.collecting_since_ms is not None
+        own = self.node.waiting_counts(now_ms)
+        room = max(0.0, max_bytes - BASE_BYTES)
+        base = self.base(now_ms, CHANGES_SHARE * room)
+        room -= fleet_changes.size_of(base.changes)
+        states: tuple[messages.MemberState, ...] = ()
+        if collecting:
+            states = self.local_states.next_states(
+                self.local_count % ROUND_ROBIN_EVERY == 0,
+                _count(STATES_SHARE * room, STATE_BYTES),
+            )
+        room -= STATE_BYTES * len(states)
+        return attrs.evolve(
+            base,
+            reports=self.node.reports.reports_to_send(
+                now_ms, _count(room, REPORT_BYTES)
+            ),
+            rate_limits=self.node.rate_limiter.reports_to_send(
+                now_ms, is_remote=False
+            ),
+            quota_counts=self.node.quotas.exchange.counts_to_send(now_ms),
+            quota_levels=self.node.quotas.exchange.levels_to_send(now_ms),
+            waiting=queue_counts.of_fleet(members, own, now_ms)
+            if collecting
+            else own,
+            members=states,
+            domains=tuple(
+                (domain, round(max(0.0, now_ms - contact_ms)))
+                for domain, contact_ms in members.contact_ms.items()
+            )
+            if collecting
+            else (),
+        )
+
+    def remote(self, now_ms: float) -> messages.Heartbeat:
+        """Returns a collector's heartbeat for the other failure domains."""
+        own = self.node.waiting_counts(now_ms)
+        return attrs.evolve(
+            self.base(now_ms),
+            reports=self.node.reports.remote_reports_to_send(
+                now_ms, MAX_REMOTE_REPORTS
+            ),
+            rate_limits=self.node.rate_limiter.reports_to_send(
+                now_ms, is_remote=True
+            ),
+            quota_counts=self.node.quotas.exchange.remote_counts_to_send(),
+            waiting=queue_counts.of_domain(self.node.members, own, now_ms),
+            members=self.remote_states.next_states(
+                self.remote_count % ROUND_ROBIN_EVERY == 0
+            ),
+        )
+
+    def base(
+        self,
+        now_ms: float,
+        changes_bytes: float = fleet_changes.MAX_CHANGES_BYTES,
+    ) -> messages.Heartbeat:
+        """Returns a heartbeat with the fields that all heartbeats carry.
+
+        Args:
+            now_ms: The time.
+            changes_bytes: Size of the changes that it may carry.
+        """
+        members = self.node.members
+        replica = self.replica
+        since, changes = replica.recent.for_heartbeat(
+            replica.revision, now_ms, changes_bytes
+        )
+        return messages.Heartbeat(
+            sender=members.own,
+            collecting=members.collecting_since_ms is not None,
+            known=members.known(),
+            configuration_version=self.node.configuration_version,
+            revision=replica.revision,
+            since_revision=since,
+            fresh_age_ms=replica.staleness_ms(now_ms),
+            changes=changes,
+        )
+
+
+def _count(room: float, each: float) -> int | None:
+    """Returns how many values of a size fit, None if any number does."""
+    return None if room == float("inf") else max(1, int(room / each))
--- a/src/lovageyoke/node/introductions.py
+++ b/src/lovageyoke/node/introductions.py
@@ -83,7 +83,7 @@
         if not new and missing <= (queued if collects and stays else 0):
             return
         last_ms = self.sent_ms.get(peer.node_id, -math.inf)
-        if now_ms - last_ms < INTERVAL_MS:
+        if now_ms - last_ms < INTERVAL_MS or not self.link.budget.has_room():
             return
         self.sent_ms[peer.node_id] = now_ms
         if collects:
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -13,11 +13,12 @@
 from lovageyoke.fleet import collectors
 from lovageyoke.fleet import follower as fleet_follower
 from lovageyoke.fleet import link as fleet_link
+from lovageyoke.fleet import link_budget
 from lovageyoke.fleet import members as fleet_members
 from lovageyoke.fleet import messages
-from lovageyoke.fleet import queue_counts
-from lovageyoke.fleet import state_updates
+from lovageyoke.node import heartbeats
 from lovageyoke.node import introductions
+from lovageyoke.node import snapshot_exchange
 from lovageyoke.node import state as node_state
 
 # Also holds for urgent heartbeats. A shorter gap makes load reports hardly
@@ -27,8 +28,6 @@
 URGENT_SHARE = 0.25
 COLLECTOR_SHARE = 0.5
 REMOTE_SHARE = 0.375  # To other failure domains; at least every second time.
-MAX_REMOTE_REPORTS = 100  # Load reports per message to other failure domains.
-ROUND_ROBIN_EVERY = 2  # Heartbeats per one that repeats unchanged states.
 SEED_JOIN_INTERVAL_MS = 200.0
 SEED_COLLECTOR_INTERVAL_MS = 2_000.0  # Reconnects the fleet after a partition.
 # A process whose event loop lags more than this announces no capacity, which
@@ -48,14 +47,11 @@
         started_ms: Start of the process in Unix time.
         clock_started_ms: Start of the process on its own clock.
         sequence: Sequence number of this process's state.
-        heartbeat_count: Number of heartbeats sent.
-        remote_heartbeat_count: Number of those to other failure domains.
-        local_states: Member states to send within the own failure domain.
-        remote_states: Member states to send to the other domains' collectors.
+        heartbeats: Composes the heartbeats.
         remote_sent_ms: When a heartbeat last went to the other domains.
         seeds_sent_ms: When a heartbeat last went to the seeds.
         introducer: Introduces processes to each other.
-        snapshot_source: The last peer that had a newer replica of the store.
+        snapshots: Requests and sends snapshots.
     """
 
     def __init__(
@@ -64,18 +60,22 @@
         self.node = node
         self.follower = follower
         self.replica = follower.replica
-        self.link = fleet_link.PeerLink(self.receive, self.message_rejected)
+        budget = link_budget.LinkBudget(
+            node.clock, node.settings.link_bytes_per_s
+        )
+        self.link = fleet_link.PeerLink(
+            self.receive, self.message_rejected, budget
+        )
         self.started_ms = node.clock.wall_ms()
         self.clock_started_ms = node.clock.now_ms()
         self.sequence = 0
-        self.heartbeat_count = 0
-        self.remote_heartbeat_count = 0
-        self.local_states = state_updates.StateUpdates(node.members, False)
-        self.remote_states = state_updates.StateUpdates(node.members, True)
+        self.heartbeats = heartbeats.Heartbeats(node, self.replica)
         self.remote_sent_ms = -math.inf
         self.seeds_sent_ms = -math.inf
         self.introducer = introductions.Introducer(node, self.link)
-        self.snapshot_source: fleet_link.Address | None = None
+        self.snapshots = snapshot_exchange.SnapshotExchange(
+            node, self.replica, self.link
+        )
 
     async def run(self) -> None:
         """Sends heartbeats until cancelled."""
@@ -85,9 +85,7 @@
             self.replica.expire_retained(self.node.clock.now_ms())
             self.follower.request_missed_changes()
             self.send_heartbeats()
-            gap_ms = max(
-                MIN_HEARTBEAT_GAP_MS, URGENT_SHARE * self.node.period_ms
-            )
+            gap_ms = self.heartbeat_gap_ms()
             await self.node.clock.sleep_ms(gap_ms)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(
@@ -96,6 +94,14 @@
                     await requested.wait()
             requested.clear()
 
+    def heartbeat_gap_ms(self) -> float:
+        """Returns the shortest time until the next heartbeat."""
+        return max(
+            MIN_HEARTBEAT_GAP_MS,
+            URGENT_SHARE * self.node.period_ms,
+            self.link.budget.heartbeat_delay_ms(),
+        )
+
     def until_regular_heartbeat_ms(self, since_ms: float) -> float:
         """Returns the time until the next regular heartbeat.
 
@@ -113,23 +119,25 @@
         """Sends all heartbeats that are due."""
         now_ms = self.node.clock.now_ms()
         members = self.node.members
-        self.heartbeat_count += 1
+        self.heartbeats.local_count += 1
         self.update_own_state()
         self.update_collector_role(now_ms)
         members.detect_failures(now_ms)
-        self.queue_changed_states()
+        self.heartbeats.queue_changed_states()
         local_peers = collectors.local_targets(
-            members, self.heartbeat_count, now_ms
+            members, self.heartbeats.local_count, now_ms
         )
-        self.send(self.local_heartbeat(now_ms), local_peers, "home")
+        max_bytes = self.link.budget.heartbeat_bytes(len(local_peers))
+        heartbeat = self.heartbeats.local(now_ms, max_bytes)
+        self.send(heartbeat, local_peers, "home")
         if self.is_remote_heartbeat_due(now_ms):
             self.remote_sent_ms = now_ms
-            self.remote_heartbeat_count += 1
+            self.heartbeats.remote_count += 1
             self.node.remote_heartbeat_requested = False
             remote_peers = collectors.remote_targets(
-                members, self.remote_heartbeat_count, now_ms
+                members, self.heartbeats.remote_count, now_ms
             )
-            self.send(self.remote_heartbeat(now_ms), remote_peers, "abroad")
+            self.send(self.heartbeats.remote(now_ms), remote_peers, "abroad")
         if self.is_seed_heartbeat_due(now_ms):
             self.seeds_sent_ms = now_ms
             self.send_seed_heartbeats(now_ms)
@@ -171,8 +179,7 @@
         members.collecting_since_ms = now_ms if must_collect else None
         members.cached = None
         if must_collect:
-            self.local_states.queue_all()
-            self.remote_states.queue_all()
+            self.heartbeats.queue_all_states()
         self.node.log.event(
             "collecting",
             collecting=must_collect,
@@ -180,80 +187,6 @@
             silent_ms=collectors.silent_ms(members, now_ms),
         )
 
-    def queue_changed_states(self) -> None:
-        """Queues changed member states for a collector's next heartbeats.
-
-        Other processes learn of these changes from a collector only.
-        """
-        members = self.node.members
-        changed, members.changed_ids = members.changed_ids, set()
-        if members.collecting_since_ms is not None:
-            self.local_states.queue(changed)
-            self.remote_states.queue(changed)
-
-    def local_heartbeat(self, now_ms: float) -> messages.Heartbeat:
-        """Returns the heartbeat for the own failure domain."""
-        members = self.node.members
-        collecting = members.collecting_since_ms is not None
-        own = self.node.waiting_counts(now_ms)
-        return attrs.evolve(
-            self.heartbeat(now_ms),
-            reports=self.node.reports.reports_to_send(now_ms),
-            rate_limits=self.node.rate_limiter.reports_to_send(
-                now_ms, is_remote=False
-            ),
-            quota_counts=self.node.quotas.exchange.counts_to_send(now_ms),
-            quota_levels=self.node.quotas.exchange.levels_to_send(now_ms),
-            waiting=queue_counts.of_fleet(members, own, now_ms)
-            if collecting
-            else own,
-            members=self.local_states.next_states(
-                self.heartbeat_count % ROUND_ROBIN_EVERY == 0
-            )
-            if collecting
-            else (),
-            domains=tuple(
-                (domain, round(max(0.0, now_ms - contact_ms)))
-                for domain, contact_ms in members.contact_ms.items()
-            )
-            if collecting
-            else (),
-        )
-
-    def remote_heartbeat(self, now_ms: float) -> messages.Heartbeat:
-        """Returns a collector's heartbeat for the other failure domains."""
-        own = self.node.waiting_counts(now_ms)
-        return attrs.evolve(
-            self.heartbeat(now_ms),
-            reports=self.node.reports.remote_reports_to_send(
-                now_ms, MAX_REMOTE_REPORTS
-            ),
-            rate_limits=self.node.rate_limiter.reports_to_send(
-                now_ms, is_remote=True
-            ),
-            quota_counts=self.node.quotas.exchange.remote_counts_to_send(),
-            waiting=queue_counts.of_domain(self.node.members, own, now_ms),
-            members=self.remote_states.next_states(
-                self.remote_heartbeat_count % ROUND_ROBIN_EVERY == 0
-            ),
-        )
-
-    def heartbeat(self, now_ms: float) -> messages.Heartbeat:
-        """Returns a heartbeat with the fields that all heartbeats carry."""
-        members = self.node.members
-        replica = self.replica
-        since, changes = replica.recent.for_heartbeat(replica.revision, now_ms)
-        return messages.Heartbeat(
-            sender=members.own,
-            collecting=members.collecting_since_ms is not None,
-            known=members.known(),
-            configuration_version=self.node.configuration_version,
-            revision=replica.revision,
-            since_revision=since,
-            fresh_age_ms=replica.staleness_ms(now_ms),
-            changes=changes,
-        )
-
     def is_seed_heartbeat_due(self, now_ms: float) -> bool:
         """Returns whether a heartbeat to the seeds is due."""
         since_ms = now_ms - self.seeds_sent_ms
@@ -270,7 +203,7 @@
     def send_seed_heartbeats(self, now_ms: float) -> None:
         """Sends a heartbeat to the seeds."""
         settings = self.node.settings
-        datagram = codec.encode(self.heartbeat(now_ms))
+        datagram = codec.encode(self.heartbeats.base(now_ms))
         for seed in settings.seeds:
             if seed != settings.peers:
                 self.link.send(datagram, (seed.host, seed.port), "seeds")
@@ -302,23 +235,31 @@
         members = self.node.members
         now_ms = self.node.clock.now_ms()
         if members.collecting_since_ms is not None:
-            local_peers = collectors.local_targets(members, 1, now_ms)
-            self.send(message, local_peers, "home")
+            self.broadcast_locally(message, now_ms)
         if not from_peer:
             everywhere = collectors.all_collectors(members, now_ms)
             self.send(message, everywhere, "configuration")
 
-    def request_snapshot(self, request: messages.SnapshotRequest) -> bool:
-        """Requests a snapshot from a peer; returns False if none has it."""
-        if self.snapshot_source is None:
-            return False
-        self.link.send(codec.encode(request), self.snapshot_source, "snapshots")
-        self.node.log.event(
-            "snapshot-requested",
-            revision=request.revision,
-            peer=self.snapshot_source[0],
-        )
-        return True
+    def broadcast_locally(
+        self, message: messages.ConfigurationUpdate, now_ms: float
+    ) -> None:
+        """Sends a configuration to the failure domain, unless it is too large.
+
+        Its members learn of the version by heartbeat and request it from
+        others.
+        """
+        peers = collectors.local_targets(self.node.members, 1, now_ms)
+        datagram = codec.encode(message)
+        if not self.link.budget.allows_broadcast(len(datagram), len(peers)):
+            self.node.log.event(
+                "configuration-not-sent",
+                version=message.version,
+                bytes=len(datagram),
+                peers=len(peers),
+            )
+            return
+        for peer in peers:
+            self.link.send(datagram, (peer.host, peer.port), "home")
 
     # Receiving
 
@@ -348,32 +289,11 @@
         elif isinstance(message, messages.ConfigurationUpdate):
             self.replica.apply_configuration_update(message)
         elif isinstance(message, messages.SnapshotPart):
-            self.replica.add_snapshot_part(message, now_ms)
+            self.snapshots.receive(message)
         elif isinstance(message, messages.RemovedUpstreams):
             self.replica.apply_removed(message)
         else:
-            self.send_snapshot(message, address, now_ms)
-
-    def send_snapshot(
-        self,
-        request: messages.SnapshotRequest,
-        address: fleet_link.Address,
-        now_ms: float,
-    ) -> None:
-        """Answers a snapshot request."""
-        datagrams = [
-            codec.encode(each)
-            for each in self.replica.snapshot_for(request, now_ms)
-        ]
-        for datagram in datagrams:
-            self.link.send(datagram, address, "snapshots")
-        self.node.log.event(
-            "snapshot-sent",
-            peer=address[0],
-            revision=self.replica.revision,
-            requested=request.revision,
-            bytes=sum(map(len, datagrams)),
-        )
+            self.snapshots.answer(message, address)
 
     def receive_heartbeat(
         self,
@@ -391,10 +311,10 @@
             and now_ms - collector_heard_ms > fleet_members.LIVE_MS
         ):
             self.introducer.introduce_domain(message.sender.peer, address)
-        queued = self.local_states.queued()
+        queued = self.heartbeats.local_states.queued()
         self.introducer.introduce(message, address, new, queued, now_ms)
         if self.replica.is_behind(message):
-            self.snapshot_source = address
+            self.snapshots.sources.record_newer(message, address, now_ms)
         news = self.replica.apply_heartbeat(message, now_ms)
         if news and members.collecting_since_ms is not None:
             self.node.heartbeat_requested.set()
--- a/src/lovageyoke/node/process.py
+++ b/src/lovageyoke/node/process.py
@@ -242,7 +242,7 @@
 
     def request_snapshot(self, request: fleet_messages.SnapshotRequest) -> bool:
         """Requests a snapshot from a peer; returns False if none has it."""
-        return self.messenger.request_snapshot(request)
+        return self.messenger.snapshots.request(request)
 
     async def admit_queued(self) -> None:
         """Starts queued requests until cancelled."""
--- a/src/lovageyoke/node/report_exchange.py
+++ b/src/lovageyoke/node/report_exchange.py
@@ -99,12 +99,20 @@
                 self.own_reported_failures.get(number, 0) + 1
             )
 
-    def reports_to_send(self, now_ms: float) -> tuple[messages.Report, ...]:
-        """Removes and returns the reports for the own failure domain."""
-        for view in self.unsent_reports.views.values():
+    def reports_to_send(
+        self, now_ms: float, limit: int | None = None
+    ) -> tuple[messages.Report, ...]:
+        """Removes and returns the reports for the own failure domain.
+
+        Args:
+            now_ms: The time.
+            limit: Maximum number of reports, None for all; the others remain
+                queued for the next message.
+        """
+        for view in list(self.unsent_reports.views.values())[:limit]:
             if view.report and view.report.slowdown:
                 view.sent_slowdown = view.report.slowdown
-        return self.unsent_reports.take(now_ms)
+        return self.unsent_reports.take(now_ms, limit)
 
     def remote_reports_to_send(
         self, now_ms: float, limit: int
--- a/tests/fakes/virtual_time.py
+++ b/tests/fakes/virtual_time.py
@@ -14,6 +14,7 @@
 from lovageyoke.store import revisions
 
 CALL_MS = 5.0
+WATCH_STEP_MS = 10.0  # A waiting watch notices a change this soon.
 Schedule = Callable[[float, Callable[[], None]], None]
 
 
@@ -97,9 +98,15 @@
     async def watch(
         self, prefix: str, after: int, wait_ms: float
     ) -> revisions.Changes:
-        before = self.revision
         found = await super().watch(prefix, after, wait_ms)
-        await Pause(CALL_MS if found.events else wait_ms)
-        if self.revision == before:
-            return found
+        waited_ms = 0.0
+        before = self.revision
+        while not found.events and self.revision == before:
+            if waited_ms >= wait_ms:
+                return found
+            await Pause(WATCH_STEP_MS)
+            waited_ms += WATCH_STEP_MS
+        await Pause(CALL_MS)
+        self.call_names.pop()
+        self.totals["watch"] -= 1
         return await super().watch(prefix, after, wait_ms)
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -174,7 +174,8 @@
         harness.follower.request_snapshot(clock.now_ms()),
         matchers.Equals(True),
     )
-    assert_that(harness.asked, matchers.Equals([replica.revision]))
+    # A peer without the missed change doesn't answer.
+    assert_that(harness.asked, matchers.Equals([store.revision]))
     calls = len(store.call_names)
     clock.advance(fleet_follower.PEER_TIMEOUT_MS)
     await harness.follower.step()
