--- a/src/lovageyoke/node/heartbeats.py
+++ b/src/lovageyoke/node/heartbeats.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from lovageyoke.fleet import changes as fleet_changes
@@ -18,6 +20,7 @@
 STATE_BYTES = 80.0
 REPORT_BYTES = 12.0
 CHANGES_SHARE = 0.5  # Of the bytes that a limited heartbeat has.
+MIN_CHANGES_BYTES = 500.0  # Two changes; each process would request them.
 STATES_SHARE = 0.5  # Of the bytes that the changes leave.
 
 
@@ -71,8 +74,9 @@
         collecting = members.collecting_since_ms is not None
         own = self.node.waiting_counts(now_ms)
         room = max(0.0, max_bytes - BASE_BYTES)
-        base = self.base(now_ms, CHANGES_SHARE * room)
-        room -= fleet_changes.size_of(base.changes)
+        changes_bytes = max(MIN_CHANGES_BYTES, CHANGES_SHARE * room)
+        base = self.base(now_ms, changes_bytes)
+        room = max(0.0, room - fleet_changes.size_of(base.changes))
         states: tuple[messages.MemberState, ...] = ()
         if collecting:
             states = self.local_states.next_states(
@@ -150,4 +154,4 @@
 
 def _count(room: float, each: float) -> int | None:
     """Returns how many values of a size fit, None if any number does."""
-    return None if room == float("inf") else max(1, int(room / each))
+    return None if math.isinf(room) else max(1, int(room / each))
