--- a/src/lovageyoke/node/heartbeats.py
+++ b/src/lovageyoke/node/heartbeats.py
@@ -19,6 +19,7 @@
 BASE_BYTES = 200.0
 STATE_BYTES = 80.0
 REPORT_BYTES = 12.0
+QUOTA_BYTES = 12.0  # Of a count or a level.
 CHANGES_SHARE = 0.5  # Of the bytes that a limited heartbeat has.
 MIN_CHANGES_BYTES = 500.0  # Two changes; each process would request them.
 STATES_SHARE = 0.5  # Of the bytes that the changes leave.
@@ -73,7 +74,11 @@
         members = self.node.members
         collecting = members.collecting_since_ms is not None
         own = self.node.waiting_counts(now_ms)
-        room = max(0.0, max_bytes - BASE_BYTES)
+        quotas = self.node.quotas.exchange
+        quota_counts = quotas.counts_to_send(now_ms)
+        quota_levels = quotas.levels_to_send(now_ms)
+        quota_size = len(quota_counts) + len(quota_levels or ())
+        room = max(0.0, max_bytes - BASE_BYTES - QUOTA_BYTES * quota_size)
         changes_bytes = max(MIN_CHANGES_BYTES, CHANGES_SHARE * room)
         base = self.base(now_ms, changes_bytes)
         room = max(0.0, room - fleet_changes.size_of(base.changes))
@@ -92,8 +97,8 @@
             rate_limits=self.node.rate_limiter.reports_to_send(
                 now_ms, is_remote=False
             ),
-            quota_counts=self.node.quotas.exchange.counts_to_send(now_ms),
-            quota_levels=self.node.quotas.exchange.levels_to_send(now_ms),
+            quota_counts=quota_counts,
+            quota_levels=quota_levels,
             waiting=queue_counts.of_fleet(members, own, now_ms)
             if collecting
             else own,
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -151,7 +151,11 @@
             if self.node.remote_heartbeat_requested
             else REMOTE_SHARE
         )
-        return now_ms - self.remote_sent_ms >= share * self.node.period_ms
+        since_ms = now_ms - self.remote_sent_ms
+        if since_ms < share * self.node.period_ms:
+            return False
+        budget = self.link.budget
+        return budget.has_room() or since_ms >= link_budget.LONGEST_INTERVAL_MS
 
     def update_own_state(self) -> None:
         """Updates the state that this process announces."""
