Carry all fresh changes in heartbeats, not the first 2,000 bytes of them

What callers saw: requests to upstreams that had said they leave, beyond the bound of 2,500 ms, when eleven left at once.

Cause: ten changes of entries fill the 2,000 bytes of a heartbeat. A collector that gets one has no changes to pass on, so each process of its domain requests one, too, 120 ms later and again after 200 ms for each loss. This comes on top of what a lost watcher (1,250 ms) or collector (500 to 750 ms) costs.

Change: changes received within 300 ms may take 12,000 bytes of a heartbeat, within the link's budget. A collector's heartbeat to the other domains doesn't wait for room on the link when it has newer changes.

--- a/src/lovageyoke/fleet/changes.py
+++ b/src/lovageyoke/fleet/changes.py
@@ -9,7 +9,11 @@
 
 RETENTION_MS = 2_000.0  # Exceeds the time in which a collector is replaced.
 MAX_CHANGES = 200
-MAX_CHANGES_BYTES = 2_000  # Per heartbeat; the receiver requests the rest.
+# Per heartbeat; the receiver requests the rest. Fresh changes have more room,
+# as each receiver would request a snapshot of all entries for them.
+MAX_CHANGES_BYTES = 2_000
+MAX_FRESH_BYTES = 12_000
+FRESH_MS = 300.0  # Several heartbeats, to tolerate lost datagrams.
 OVERHEAD_BYTES = 16  # Encoding overhead of a change besides key and value.
 
 
@@ -40,7 +44,7 @@
         self,
         revision: int,
         now_ms: float,
-        max_bytes: float = MAX_CHANGES_BYTES,
+        max_bytes: float = MAX_FRESH_BYTES,
     ) -> tuple[int, tuple[messages.EntryChange, ...]]:
         """Returns the changes to include in the next heartbeat.
 
@@ -60,9 +64,11 @@
         chosen: list[messages.EntryChange] = []
         since = revision
         size = 0
-        for _, change in reversed(self.buffer):
+        for received_ms, change in reversed(self.buffer):
             size += size_of((change,))
-            if size > min(max_bytes, MAX_CHANGES_BYTES):
+            fresh = now_ms - received_ms <= FRESH_MS
+            limit = MAX_FRESH_BYTES if fresh else MAX_CHANGES_BYTES
+            if size > min(max_bytes, limit):
                 # Several changes may have one revision.
                 return max(since, change.revision), tuple(chosen)
             chosen.insert(0, change)
--- a/src/lovageyoke/node/heartbeats.py
+++ b/src/lovageyoke/node/heartbeats.py
@@ -132,7 +132,7 @@
     def base(
         self,
         now_ms: float,
-        changes_bytes: float = fleet_changes.MAX_CHANGES_BYTES,
+        changes_bytes: float = fleet_changes.MAX_FRESH_BYTES,
     ) -> messages.Heartbeat:
         """Returns a heartbeat with the fields that all heartbeats carry.
 
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -49,6 +49,7 @@
         sequence: Sequence number of this process's state.
         heartbeats: Composes the heartbeats.
         remote_sent_ms: When a heartbeat last went to the other domains.
+        remote_revision: The store's revision that it carried.
         seeds_sent_ms: When a heartbeat last went to the seeds.
         introducer: Introduces processes to each other.
         snapshots: Requests and sends snapshots.
@@ -71,6 +72,7 @@
         self.sequence = 0
         self.heartbeats = heartbeats.Heartbeats(node, self.replica)
         self.remote_sent_ms = -math.inf
+        self.remote_revision = 0
         self.seeds_sent_ms = -math.inf
         self.introducer = introductions.Introducer(node, self.link)
         self.snapshots = snapshot_exchange.SnapshotExchange(
@@ -132,6 +134,7 @@
         self.send(heartbeat, local_peers, "home")
         if self.is_remote_heartbeat_due(now_ms):
             self.remote_sent_ms = now_ms
+            self.remote_revision = self.replica.revision
             self.heartbeats.remote_count += 1
             self.node.remote_heartbeat_requested = False
             remote_peers = collectors.remote_targets(
@@ -154,6 +157,8 @@
         since_ms = now_ms - self.remote_sent_ms
         if since_ms < share * self.node.period_ms:
             return False
+        if self.replica.revision > self.remote_revision:
+            return True
         budget = self.link.budget
         return budget.has_room() or since_ms >= link_budget.LONGEST_INTERVAL_MS
 
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -302,12 +302,19 @@
         store.put(f"up/x{index}", b"y" * 40)
     await harness.follower.step()
     replica = harness.replica
-    since, changes = replica.recent.for_heartbeat(
-        replica.revision, clock.now_ms()
-    )
     assert_that(replica.revision, matchers.Equals(store.revision))
+    for after_ms, most in (
+        (0.0, fleet_changes.MAX_FRESH_BYTES),
+        (fleet_changes.FRESH_MS + 1.0, fleet_changes.MAX_CHANGES_BYTES),
+    ):
+        clock.advance(after_ms)
+        since, changes = replica.recent.for_heartbeat(
+            replica.revision, clock.now_ms()
+        )
+        size = fleet_changes.size_of(changes)
+        assert_that(size, matchers.LessThan(most + 1))
+        assert_that(changes[0].revision, matchers.Equals(since + 1))
     assert_that(len(changes), matchers.LessThan(60))
-    assert_that(changes[0].revision, matchers.Equals(since + 1))
     assert_that(
         replica.recent.buffer, matchers.HasLength(fleet_changes.MAX_CHANGES)
     )
--- a/tests/fleet/test_link_limits.py
+++ b/tests/fleet/test_link_limits.py
@@ -11,6 +11,7 @@
 
 from fakes import fleet as fleet_fake
 from fakes import virtual_time
+from lovageyoke.fleet import watching
 from lovageyoke.store import revisions
 
 DOMAINS = [82, 12, 12]
@@ -25,6 +26,8 @@
 REGISTERED = reporting.UPSTREAMS[:130]
 REGISTER_MS = 50.0  # Between two batches of them.
 BATCH = 4
+SETTLED_MS = 4_000.0
+DRAIN_BOUND_MS = 2_500.0  # Also that of a configuration.
 
 
 def fleet_without_large_vms() -> fleet_fake.Fleet:
@@ -118,3 +121,44 @@
         ),
         scenarios.CHANGE_BOUND_MS,
     )
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_leavings_reach_all_when_collectors_and_watchers_have_just_failed(
+    seed: int,
+) -> None:
+    store = virtual_time.SharedStore()
+    store.put("config", b"1")
+    for name in REGISTERED:
+        store.put(f"up/{name}", b"x".ljust(VALUE_BYTES))
+    fleet = fleet_fake.Fleet(
+        conftest.LAYOUT,
+        [37, 38, 45],
+        seed=seed,
+        large_each=reporting.LARGE_EACH,
+        loss=0.02,
+        period_ms=60.0,
+        store=store,
+        links=LINKS,
+    )
+    fleet.run(SETTLED_MS)
+    now_ms = fleet.clock.now_ms()
+    for each in fleet.running():
+        watches = watching.should_watch(each.node.members, now_ms, 0.0, True)
+        collects = each.domain == "domain-0" and each.capacity == LARGE
+        if watches or collects:
+            each.stop()
+    fleet.run(100.0)
+    for name in LEAVING[:11]:
+        store.put(f"up/{name}", DRAINING)
+    store.put("config", b"2")
+    fleet.run_until(
+        lambda: (
+            all(
+                not each.upstreams.intersection(LEAVING[:11])
+                for each in fleet.running()
+            )
+            and scenarios.all_at_version(fleet, 2)
+        ),
+        DRAIN_BOUND_MS,
+    )
--- a/tests/fleet/test_missed_changes.py
+++ b/tests/fleet/test_missed_changes.py
@@ -20,6 +20,7 @@
 from lovageyoke.store import revisions
 
 MANY = [f"u{index:04}" for index in range(140)]
+LONG_DRAINING = b"draining".ljust(200)  # As long as a real entry.
 
 
 def drain_all(fleet: fleet_fake.Fleet, watcher: fleet_fake.Process) -> None:
@@ -134,6 +135,39 @@
     )
 
 
+def snapshot_bytes(fleet: fleet_fake.Fleet) -> int:
+    return sum(
+        each.messenger.link.sent_bytes.get("snapshots", 0)
+        for each in fleet.processes
+    )
+
+
+@pytest.mark.parametrize(
+    "domains", [scenarios.SMALL, [40, 40, 40]], ids=["14", "120"]
+)
+def test_leavings_of_a_batch_reach_all_without_a_snapshot(
+    domains: list[int],
+) -> None:
+    fleet = scenarios.fleet_of(domains, upstreams=MANY)
+    before = snapshot_bytes(fleet)
+    leaving = MANY[:20]
+    revision = max(each.replica.revision for each in fleet.running())
+    events = [
+        revisions.Change(f"up/{name}", revision + 1 + index, LONG_DRAINING)
+        for index, name in enumerate(leaving)
+    ]
+    fleet.deliver_changes(fleet.processes[-1], *events)
+    fleet.run_until(
+        lambda: (
+            not any(
+                each.upstreams.intersection(leaving) for each in fleet.running()
+            )
+        ),
+        500.0,
+    )
+    assert_that(snapshot_bytes(fleet), matchers.Equals(before))
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_all_processes_agree_after_batches_of_changes_under_loss(
     seed: int,
