--- a/src/lovageyoke/fleet/snapshot_sources.py
+++ b/src/lovageyoke/fleet/snapshot_sources.py
@@ -71,18 +71,23 @@
         """Returns the next peer to ask, None if none has a newer replica."""
         if self.newest is None:
             return None
-        found = self.alternatives(now_ms)
-        others = [(each.peer.host, each.peer.port) for each in found]
-        order = [each for each in others if each != self.newest]
-        best = max((each.state.capacity for each in found), default=0)
-        small = self.newest_capacity < SMALL_SHARE * best
-        order.insert(len(order) if self.collects and small else 0, self.newest)
         if now_ms - self.requested_ms > PAUSE_MS:
             self.attempts = 0
+        order = self.order(self.newest, now_ms)
+        found = order[self.attempts % len(order)]
         self.requested_ms = now_ms
-        position = self.attempts % len(order)
         self.attempts += 1
-        return order[position]
+        return found
+
+    def order(self, newest: Address, now_ms: float) -> list[Address]:
+        """Returns the peers in the order in which they are asked."""
+        others = self.alternatives(now_ms)
+        best = max((each.state.capacity for each in others), default=0)
+        addresses = [(each.peer.host, each.peer.port) for each in others]
+        rest = [each for each in addresses if each != newest]
+        if self.collects and self.newest_capacity < SMALL_SHARE * best:
+            return [*rest, newest]
+        return [newest, *rest]
 
     def alternatives(self, now_ms: float) -> list[fleet_member.Member]:
         """Returns the live peers with most capacity.
--- a/src/lovageyoke/node/heartbeats.py
+++ b/src/lovageyoke/node/heartbeats.py
@@ -71,26 +71,22 @@
             max_bytes: About how large it may be. What doesn't fit is sent
                 with later heartbeats, except changes, which peers request.
         """
-        members = self.node.members
-        collecting = members.collecting_since_ms is not None
-        own = self.node.waiting_counts(now_ms)
         quotas = self.node.quotas.exchange
         quota_counts = quotas.counts_to_send(now_ms)
         quota_levels = quotas.levels_to_send(now_ms)
         quota_size = len(quota_counts) + len(quota_levels or ())
         room = max(0.0, max_bytes - BASE_BYTES - QUOTA_BYTES * quota_size)
         changes_bytes = max(MIN_CHANGES_BYTES, CHANGES_SHARE * room)
-        base = self.base(now_ms, changes_bytes)
-        room = max(0.0, room - fleet_changes.size_of(base.changes))
-        states: tuple[messages.MemberState, ...] = ()
-        if collecting:
-            states = self.local_states.next_states(
-                self.local_count % ROUND_ROBIN_EVERY == 0,
-                _count(STATES_SHARE * room, STATE_BYTES),
-            )
-        room -= STATE_BYTES * len(states)
+        heartbeat = self.base(now_ms, changes_bytes)
+        room = max(0.0, room - fleet_changes.size_of(heartbeat.changes))
+        if self.node.members.collecting_since_ms is not None:
+            heartbeat = self.with_fleet(heartbeat, now_ms, room)
+            room -= STATE_BYTES * len(heartbeat.members)
+        else:
+            waiting = self.node.waiting_counts(now_ms)
+            heartbeat = attrs.evolve(heartbeat, waiting=waiting)
         return attrs.evolve(
-            base,
+            heartbeat,
             reports=self.node.reports.reports_to_send(
                 now_ms, _count(room, REPORT_BYTES)
             ),
@@ -99,16 +95,31 @@
             ),
             quota_counts=quota_counts,
             quota_levels=quota_levels,
-            waiting=queue_counts.of_fleet(members, own, now_ms)
-            if collecting
-            else own,
-            members=states,
+        )
+
+    def with_fleet(
+        self, heartbeat: messages.Heartbeat, now_ms: float, room: float
+    ) -> messages.Heartbeat:
+        """Returns a heartbeat with what a collector knows of the fleet.
+
+        Args:
+            heartbeat: The heartbeat.
+            now_ms: The time.
+            room: Bytes that states and reports may take.
+        """
+        members = self.node.members
+        own = self.node.waiting_counts(now_ms)
+        return attrs.evolve(
+            heartbeat,
+            waiting=queue_counts.of_fleet(members, own, now_ms),
+            members=self.local_states.next_states(
+                self.local_count % ROUND_ROBIN_EVERY == 0,
+                _count(STATES_SHARE * room, STATE_BYTES),
+            ),
             domains=tuple(
                 (domain, round(max(0.0, now_ms - contact_ms)))
                 for domain, contact_ms in members.contact_ms.items()
-            )
-            if collecting
-            else (),
+            ),
         )
 
     def remote(self, now_ms: float) -> messages.Heartbeat:
