--- a/tests/fakes/revision_store.py
+++ b/tests/fakes/revision_store.py
@@ -58,6 +58,10 @@
     ) -> revisions.Changes:
         del wait_ms
         self.record_call("watch")
+        return self.changes_after(prefix, after)
+
+    def changes_after(self, prefix: str, after: int) -> revisions.Changes:
+        """Returns the changes after a revision, also if there are none."""
         if after < self.compacted_revision:
             raise exceptions.HistoryCompactedError("gone")
         events = tuple(
--- a/tests/fakes/virtual_time.py
+++ b/tests/fakes/virtual_time.py
@@ -98,15 +98,12 @@
     async def watch(
         self, prefix: str, after: int, wait_ms: float
     ) -> revisions.Changes:
-        found = await super().watch(prefix, after, wait_ms)
+        self.record_call("watch")
         waited_ms = 0.0
-        before = self.revision
-        while not found.events and self.revision == before:
-            if waited_ms >= wait_ms:
-                return found
+        found = self.changes_after(prefix, after)
+        while not found.events and waited_ms < wait_ms:
             await Pause(WATCH_STEP_MS)
             waited_ms += WATCH_STEP_MS
+            found = self.changes_after(prefix, after)
         await Pause(CALL_MS)
-        self.call_names.pop()
-        self.totals["watch"] -= 1
-        return await super().watch(prefix, after, wait_ms)
+        return self.changes_after(prefix, after)
