Log the store's era and the reads that a process ignores

Three causes were possible: the read after the 410 fails, it is ignored, or peers overwrite it. The logs told none of them apart, as a read that changes nothing left no line, and the era was not read at all.

A full read below the known revision is now logged with the era in which the store answered (store-read-obsolete), and store-history-gone names the era.

--- a/src/lovageyoke/fleet/follower.py
+++ b/src/lovageyoke/fleet/follower.py
@@ -241,6 +241,15 @@
         operators = await self.store.list_items(layout.operator_prefix, stale)
         self.record_success()
         now_ms = self.clock.now_ms()
+        read = min(upstreams.revision, operators.revision)
+        if read < self.replica.revision:
+            self.log.event(
+                "store-read-obsolete",
+                era=self.store.era,
+                read_revision=read,
+                known_revision=self.replica.revision,
+                stale=stale,
+            )
         self.replica.apply_read(upstreams, operators, now_ms, stale)
         if self.replica.configuration is None:
             await self.clock.sleep_ms(POLL_MS * 4)
@@ -257,7 +266,9 @@
                 replica.layout.watch_prefix, replica.revision, wait_ms
             )
         except exceptions.HistoryCompactedError as error:
-            self.log.event("store-history-gone", detail=error.detail)
+            self.log.event(
+                "store-history-gone", detail=error.detail, era=self.store.era
+            )
             self.record_success()
             await self.read_all(stale=False)
             return
--- a/src/lovageyoke/platform/store_client.py
+++ b/src/lovageyoke/platform/store_client.py
@@ -30,6 +30,7 @@
 PRECONDITION_FAILED = 412
 TOO_MANY_REQUESTS = 429
 JSON_TYPE = b"application/json"
+ERA_HEADER = b"store-era"
 
 
 class StoreClient(revisions.RevisionStore):
@@ -43,6 +44,7 @@
         port: TCP port of the store.
         idle: Idle connections.
         calls: Number of calls by name.
+        era: Era of the store in its last response, as sent; empty if none.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -50,6 +52,7 @@
         self.port = port
         self.idle: list[hop_connection.ClientConnection] = []
         self.calls: dict[str, int] = {}
+        self.era = ""
 
     async def get(self, key: str) -> tuple[revisions.Item | None, int]:
         """Returns an item, None if it is absent, and the store's revision."""
@@ -193,6 +196,7 @@
             self.idle.append(connection)
         else:
             connection.close()
+        self.era = (response.header(ERA_HEADER) or b"").decode("latin-1")
         return _decode_response(response)
 
     async def exchange(
--- a/src/lovageyoke/store/revisions.py
+++ b/src/lovageyoke/store/revisions.py
@@ -89,9 +89,11 @@
 
     Attributes:
         calls: Number of calls made since the start, by name.
+        era: Era that the store stated last; empty if it stated none.
     """
 
     calls: dict[str, int]
+    era: str
 
     @abc.abstractmethod
     async def get(self, key: str) -> tuple[Item | None, int]:
--- a/tests/fakes/revision_store.py
+++ b/tests/fakes/revision_store.py
@@ -23,6 +23,7 @@
         self.compacted_revision = 0
         self.call_names: list[str] = []
         self.calls: dict[str, int] = {}
+        self.era = "1"
         self.leases: set[int] = set()
 
     def put(self, key: str, value: bytes) -> None:
