Keep entries that a restored store lacks until they are written again

An evacuation that the copy lacks ends until the operator has written it again.

Cause: a key that a listing of the new era lacks counted as removed. But its removal is not known: the store lost the write.

What is known of removed and draining upstreams already outlasts the era, by lifetime and sequence number.

--- a/src/lovageyoke/fleet/key_state.py
+++ b/src/lovageyoke/fleet/key_state.py
@@ -17,8 +17,9 @@
         value: The upstream or the evacuation, None if the entry is invalid or
             deleted.
         received_ms: When the value was received.
-        deleted_ms: When the entry was deleted during a store outage; None if
-            it wasn't. The upstream stays in use for a while.
+        deleted_ms: When the entry was deleted during a store outage, or found
+            to be absent from a restored store; None if it wasn't. It stays in
+            use for a while.
         doubtful_ms: Since when the entry is there again after its removal
             though it may result from a late write; None if it doesn't.
     """
--- a/src/lovageyoke/fleet/registry.py
+++ b/src/lovageyoke/fleet/registry.py
@@ -4,9 +4,10 @@
 never reverts to an older position of a key. That a key is absent is known at
 a position, too: a write from before that position is obsolete. An entry that
 is deleted during or shortly after a store outage is retained until its
-upstream has had time to register again; evacuations end at once. An entry
-that a late write brings back after its removal is doubtful: it isn't used
-until it has stayed for longer than such a write can explain.
+upstream has had time to register again; evacuations end at once. After a
+return of the store from a copy, both are retained if the copy lacks them. An
+entry that a late write brings back after its removal is doubtful: it isn't
+used until it has stayed for longer than such a write can explain.
 """
 
 from __future__ import annotations
@@ -36,7 +37,8 @@
         decode: Decodes an entry from its key and value.
         known: State of each key; deleted keys are kept as tombstones with
             their position.
-        retained: Keys that were deleted during a store outage.
+        retained: Keys that were deleted during a store outage, or that a
+            restored store lacks.
         doubtful: Keys whose entries may result from a late write.
         lifetimes: The lifetimes of upstreams that were removed.
         complete_position: The state of every key is known at this position;
@@ -206,6 +208,7 @@
     def apply_listing(self, listing: revisions.Listing, now_ms: float) -> bool:
         """Applies a full listing; missing keys count as deleted."""
         changed = False
+        self.enter_era(listing.position, now_ms)
         present = set()
         for item in listing.items:
             present.add(item.key)
@@ -231,6 +234,7 @@
             Whether the upstreams changed.
         """
         changed = False
+        self.enter_era(whole.position, now_ms)
         present = set()
         for entry in whole.entries:
             present.add(entry.key)
@@ -260,9 +264,42 @@
                 known.deleted_ms is None or known.doubtful_ms is not None
             )
             if gone and was_present and known.value is not None:
-                changed |= self.remove(key, position, now_ms)
+                if self.is_later_era(position):
+                    self.retain(key, known, position, now_ms)
+                else:
+                    changed |= self.remove(key, position, now_ms)
         return changed
 
+    def is_later_era(self, position: positions.Position) -> bool:
+        """Returns whether a position is of a later era than what is known."""
+        known = self.complete_position
+        return known != positions.START and position.era > known.era
+
+    def enter_era(self, position: positions.Position, now_ms: float) -> None:
+        """Records a return of the store; its writers then write again."""
+        if self.is_later_era(position):
+            self.record_outage(now_ms)
+
+    def retain(
+        self,
+        key: str,
+        known: key_state.KeyState,
+        position: positions.Position,
+        now_ms: float,
+    ) -> None:
+        """Retains an entry that a restored store lacks.
+
+        Its removal isn't known, so the same heartbeat may register it again.
+        """
+        known.position = position
+        if known.doubtful_ms is not None and known.deleted_ms is None:
+            # It wasn't in use.
+            known.value = None
+        elif known.deleted_ms is None:
+            known.deleted_ms = now_ms
+            self.retained.add(key)
+        known.doubtful_ms = None
+
     def expire_retained(self, now_ms: float) -> bool:
         """Removes retained entries whose upstreams didn't register again.
 
