Pause before all is read again, and spread the reads of all watchers

Cause: the read after a 410 had no pause.

Change: the first watcher reads at once; the others wait up to 250 ms and read only if no peer has sent what was missing; each further reload without a watch in between waits longer, up to a second. An answer of an earlier era than the known one counts as a failed call.

--- a/src/lovageyoke/fleet/follower.py
+++ b/src/lovageyoke/fleet/follower.py
@@ -21,6 +21,7 @@
 from lovageyoke.fleet import replica as fleet_replica
 from lovageyoke.fleet import watching
 from lovageyoke.observe import events
+from lovageyoke.store import positions
 from lovageyoke.store import revisions
 
 POLL_MS = 50.0  # Poll interval while there is nothing to do.
@@ -38,6 +39,8 @@
 STANDBY_BATCH_MS = 500.0  # The standby gets most changes by heartbeat.
 RETRY_FIRST_MS = 150.0
 RETRY_MAX_MS = 1_000.0
+# All watchers notice a lost history at once; the first passes on what it read.
+RELOAD_SPREAD_MS = 250.0
 RECHECK_MS = 2_000.0  # Probes a failed store, so that it is soon watched again.
 RECHECKERS = 6
 MAX_READS = 3  # Attempts to read all keys in one era.
@@ -65,6 +68,7 @@
         batch: Whether the last watch returned changes, so that the next one
             is delayed to return several.
         retry_ms: Delay before the next retry, without jitter.
+        reloads: Number of reloads since the last watch with a result.
         started_ms: When this process started.
         bootstrap_timeout_ms: How long a start waits for peers before it reads
             the store.
@@ -97,6 +101,7 @@
         self.requested_ms = -math.inf
         self.batch = False
         self.retry_ms = RETRY_FIRST_MS
+        self.reloads = 0
         self.started_ms = clock.now_ms()
         jitter_ms = rng.uniform(0.0, START_JITTER_MS)
         self.bootstrap_timeout_ms = PEER_TIMEOUT_MS + jitter_ms
@@ -238,6 +243,7 @@
     async def read_all(self, stale: bool) -> None:
         """Reads all upstreams and the operators' keys from the store."""
         upstreams, operators = await self.read_listings(stale)
+        self.check_era(upstreams.position)
         self.record_success()
         now_ms = self.clock.now_ms()
         self.replica.apply_read(upstreams, operators, now_ms, stale)
@@ -283,15 +289,15 @@
                 "store-history-gone", detail=error.detail, era=self.store.era
             )
             self.record_success()
-            await self.read_all(stale=False)
+            await self.reload(after)
             return
+        self.check_era(found.position)
         self.record_success()
-        if found.position.era > replica.position.era:
-            # Its changes follow another history than the known one.
-            await self.read_all(stale=False)
-            return
-        if not found.position.era == after.era == replica.position.era:
+        if found.position.era != after.era:
+            # Its changes follow another history than the one asked for.
+            await self.reload(after)
             return
+        self.reloads = 0
         now_ms = self.clock.now_ms()
         replica.apply_watch(found, now_ms)
         self.batch = bool(found.events)
@@ -301,6 +307,37 @@
         if found.events:
             self.on_changes()
 
+    async def reload(self, after: positions.Position) -> None:
+        """Reads all again, unless a peer sends what the store has meanwhile.
+
+        Args:
+            after: The position whose later changes the store doesn't have.
+        """
+        await self.clock.sleep_ms(self.reload_pause_ms())
+        self.reloads += 1
+        if self.replica.position == after:
+            await self.read_all(stale=False)
+
+    def reload_pause_ms(self) -> float:
+        """Returns the delay before a reload; the first watcher has none."""
+        rank = self.members.watch_rank(self.clock.now_ms(), self.store_ok)
+        if self.reloads == 0:
+            return 0.0 if rank == 0 else self.rng.uniform(0.0, RELOAD_SPREAD_MS)
+        most_ms = min(RELOAD_SPREAD_MS * (1 + self.reloads), RETRY_MAX_MS)
+        return most_ms * self.rng.uniform(0.7, 1.3)
+
+    def check_era(self, position: positions.Position) -> None:
+        """Checks that an answer isn't from before a known return of the store.
+
+        Raises:
+            ObsoleteResponseError: The replica is of a later era.
+        """
+        known = self.replica.position
+        if position.era < known.era:
+            raise exceptions.ObsoleteResponseError(
+                f"the store answered in era {position.era}, not {known.era}"
+            )
+
     async def recheck(self) -> None:
         """Probes a failed store; logs its recovery, not repeated failures."""
         try:
--- a/tests/fakes/virtual_time.py
+++ b/tests/fakes/virtual_time.py
@@ -107,6 +107,8 @@
         while not found.events and waited_ms < wait_ms:
             await Pause(WATCH_STEP_MS)
             waited_ms += WATCH_STEP_MS
+            if self.error is not None:
+                raise self.error
             found = self.changes_after(prefix, after)
         await Pause(CALL_MS)
         return self.changes_after(prefix, after)
--- a/tests/fleet/test_store_return.py
+++ b/tests/fleet/test_store_return.py
@@ -103,6 +103,7 @@
     copy = store.copy()
     store.put("up/u3", b"x")
     await returned.follower.step()
+    await returned.follower.step()
     store.restore(copy)
     await returned.follower.step()
     store.put("up/u4", b"x")
