Register afresh after a return instead of renewing a lease of an earlier era

What the operator would see: after a return a process renews a lease that the store has given to another in the meantime, and believes itself registered while its own entry is gone, so that new processes don't find it.

Cause: a lease was known by its ID only, and restored stores assign IDs again.

Change: a lease ends with its era. A process that learns of a later era, from the store or from a peer, gives its lease up without a call and registers again after up to 2 s, so that all collectors don't write at once; an entry whose write was answered in another era than the grant is written again.

--- a/src/lovageyoke/fleet/registration.py
+++ b/src/lovageyoke/fleet/registration.py
@@ -1,4 +1,8 @@
-"""Registers a process in the store and discovers peers from it."""
+"""Registers a process in the store and discovers peers from it.
+
+A lease ends with the era in which it was granted: a store that is restored
+from a copy may assign its ID to another lease.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +18,7 @@
 
 RETRY_FIRST_MS = 150.0
 POLL_MS = 500.0
+REREGISTRATION_SPREAD_MS = 2_000.0  # Of all processes after a return.
 DISCOVERY_FIRST_MS = 1_500.0  # Most processes find peers by seeds earlier.
 DISCOVERY_RETRY_MS = 2_000.0  # While no live peer is known.
 DISCOVERY_AGAIN_MS = 15_000.0
@@ -31,6 +36,7 @@
         clock: Source of time.
         log: Receives failures.
         rng: Adds jitter to the renewals.
+        known_era: Returns the highest era of the store that is known.
         lease: The lease, None while there is none.
     """
 
@@ -44,6 +50,7 @@
         clock: clock_api.Clock,
         log: events.EventLog,
         rng: random.Random,
+        known_era: Callable[[], int],
     ) -> None:
         self.store = store
         self.key = key
@@ -53,6 +60,7 @@
         self.clock = clock
         self.log = log
         self.rng = rng
+        self.known_era = known_era
 
     async def run(self, wanted: Callable[[], bool]) -> None:
         """Maintains the entry until cancelled.
@@ -75,10 +83,11 @@
         while self.lease is None:
             try:
                 lease = await self.store.grant_lease(self.ttl_ms)
-                await self.store.commit(
+                written = await self.store.commit(
                     [revisions.Write(self.key, self.value, lease)]
                 )
-                self.lease = lease
+                if written.era == lease.era:
+                    self.lease = lease
             except exceptions.PlatformError as error:
                 self.log.event("registration-failed", detail=error.detail)
                 spread = self.rng.uniform(0.7, 1.3)
@@ -87,19 +96,41 @@
 
     async def renew(self) -> None:
         """Renews the lease once, after a fraction of its time to live."""
-        if self.lease is None:
+        lease = self.lease
+        if lease is None:
+            return
+        if not await self.wait_for_renewal(lease):
+            self.lease = None
+            self.log.event(
+                "lease-ended",
+                lease=lease.lease_id,
+                era=lease.era,
+                known_era=self.known_era(),
+            )
+            # All registered processes notice this at the same time.
+            spread_ms = self.rng.uniform(0.0, REREGISTRATION_SPREAD_MS)
+            await self.clock.sleep_ms(spread_ms)
             return
-        share = self.rng.uniform(0.3, 0.4)
-        await self.clock.sleep_ms(self.ttl_ms * share)
         try:
-            await self.store.renew_lease(self.lease)
+            await self.store.renew_lease(lease)
         except exceptions.LeaseExpiredError:
-            self.log.event("lease-ended", lease=self.lease.lease_id)
+            self.log.event("lease-ended", lease=lease.lease_id, era=lease.era)
             self.lease = None
         except exceptions.PlatformError as error:
             # The next attempt is still before the lease expires.
             self.log.event("renewal-failed", detail=error.detail)
 
+    async def wait_for_renewal(self, lease: revisions.Lease) -> bool:
+        """Waits until a lease is due; returns False if its era ends."""
+        share = self.rng.uniform(0.3, 0.4)
+        due_ms = self.clock.now_ms() + self.ttl_ms * share
+        while self.known_era() <= lease.era:
+            left_ms = due_ms - self.clock.now_ms()
+            if left_ms <= 0.0:
+                return True
+            await self.clock.sleep_ms(min(POLL_MS, left_ms))
+        return False
+
 
 class PeerDiscovery:
     """Discovers other processes by their entries in the store.
--- a/src/lovageyoke/node/presence.py
+++ b/src/lovageyoke/node/presence.py
@@ -21,7 +21,8 @@
         node: Shared state of the process.
         store: The store.
         codecs: Codecs of the entries.
-        messenger: Exchanges messages with the peers.
+        messenger: Exchanges messages with the peers, and knows the position
+            of the store.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
             clock=node.clock,
             log=node.log,
             rng=node.rng,
+            known_era=self.known_era,
         )
         await registration.run(self.should_register)
 
@@ -68,6 +70,10 @@
         )
         await discovery.run()
 
+    def known_era(self) -> int:
+        """Returns the highest era that the store or a peer has stated."""
+        return max(self.store.era, self.messenger.replica.position.era)
+
     def should_register(self) -> bool:
         """Returns whether this process has to be registered in the store.
 
