Move the configuration out of the replica of the store

The second one is now a class of its own (fleet/configuration_state.py), without a change of behaviour; the tests of the follower, the replica model, stale reads and missed changes pass as before.

--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -10,10 +10,10 @@
 
 from collections.abc import Callable
 import math
-import zlib
 
 from lovageyoke.errors import exceptions
 from lovageyoke.fleet import changes
+from lovageyoke.fleet import configuration_state
 from lovageyoke.fleet import entry_log
 from lovageyoke.fleet import layout as fleet_layout
 from lovageyoke.fleet import lifetimes
@@ -29,9 +29,7 @@
 READ_GAP_MS = 120.0  # A shorter gap is closed by the next heartbeat.
 OUTAGE_MS = 2_000.0  # Without a confirmation of the position by any process.
 MAX_STALENESS_MS = 600_000
-MAX_UPDATE_BYTES = 30_000  # A datagram holds twice as much.
 MAX_SENT_LIFETIMES = 500  # In one datagram.
-MAX_CONFIGURATION_BYTES = 8_000_000
 
 
 class Replica:
@@ -40,15 +38,10 @@
     Attributes:
         layout: Key layout of the store.
         log: Receives state changes and rejected data.
-        on_configuration: Called with each newer configuration.
         on_upstreams: Called with the upstreams when they changed.
-        broadcast: Sends a configuration to other processes. The second argument
-            is whether it was received from a peer.
         registry: The entries of upstreams and evacuations.
         entry_log: Logs changes of them.
-        configuration: The newest configuration, None before the first.
-        packed: Its compressed value in the store.
-        configuration_revision: The store's revision of that value.
+        configurations: The newest configuration, and what peers have.
         position: All changes up to this position are known.
         returns: Number of times that the store was restored from a copy.
         fresh_ms: When the store was last known to be at ``position``.
@@ -57,9 +50,6 @@
         assembler: Received parts of an incomplete snapshot.
         packed_snapshot: The last snapshot sent.
         missed: The changes that are known to exist but are missing.
-        outdated_ms: When a peer was first seen with a newer configuration;
-            None if there is none.
-        newest_version: Newest configuration version of any peer.
     """
 
     def __init__(
@@ -74,9 +64,7 @@
     ) -> None:
         self.layout = layout
         self.log = log
-        self.on_configuration = on_configuration
         self.on_upstreams = on_upstreams
-        self.broadcast = broadcast
         self.entry_log = entry_log.EntryLog(log)
         self.registry = fleet_registry.Registry(
             layout.decode_entry,
@@ -84,9 +72,9 @@
             self.entry_log.log_late_write,
             heartbeat_ms,
         )
-        self.configuration: model.Configuration | None = None
-        self.packed = b""
-        self.configuration_revision = 0
+        self.configurations = configuration_state.ConfigurationState(
+            layout.decode_configuration, log, on_configuration, broadcast
+        )
         self.position = positions.START
         self.returns = 0
         self.fresh_ms = -math.inf
@@ -95,8 +83,11 @@
         self.assembler = snapshot.SnapshotAssembler()
         self.packed_snapshot = snapshot.PackedSnapshot()
         self.missed = missed_changes.MissedChanges(log)
-        self.outdated_ms: float | None = None
-        self.newest_version = 0
+
+    @property
+    def configuration(self) -> model.Configuration | None:
+        """The newest configuration, None before the first."""
+        return self.configurations.current
 
     @property
     def is_complete(self) -> bool:
@@ -112,12 +103,8 @@
 
         Gaps shorter than ``READ_GAP_MS`` are ignored.
         """
-        version = self.configuration.version if self.configuration else 0
-        if self.newest_version <= version:
-            self.outdated_ms = None
-        elif self.outdated_ms is None:
-            self.outdated_ms = now_ms
-        for since_ms in (self.missed.since_ms, self.outdated_ms):
+        outdated_ms = self.configurations.outdated_since_ms(now_ms)
+        for since_ms in (self.missed.since_ms, outdated_ms):
             if since_ms is not None and now_ms - since_ms >= READ_GAP_MS:
                 return since_ms
         return None
@@ -129,10 +116,9 @@
 
     def is_behind(self, heartbeat: messages.Heartbeat) -> bool:
         """Returns whether the sender of a heartbeat has newer state."""
-        version = self.configuration.version if self.configuration else 0
         return (
             heartbeat.position > self.position
-            or heartbeat.configuration_version > version
+            or heartbeat.configuration_version > self.configurations.version
         )
 
     def expire_retained(self, now_ms: float) -> None:
@@ -185,7 +171,7 @@
         for each in operators.items:
             if each.key == self.layout.configuration_key:
                 revision = each.position.revision
-                self.apply_configuration(each.value, revision)
+                self.configurations.apply(each.value, revision)
             elif self.layout.is_entry(each.key):
                 entries.append(each)
         changed = self.registry.apply_listing(
@@ -195,7 +181,7 @@
         if not stale:
             self.fresh_ms = now_ms
             self.missed.restart(now_ms)
-            self.outdated_ms = None
+            self.configurations.outdated_ms = None
 
     def finish_loading(
         self,
@@ -269,7 +255,7 @@
         if change.key == self.layout.configuration_key:
             if change.value is not None:
                 revision = change.position.revision
-                self.apply_configuration(change.value, revision)
+                self.configurations.apply(change.value, revision)
             return False
         if change.position <= self.position:
             # A heartbeat delivered it while the watch was pending.
@@ -283,9 +269,7 @@
         self, heartbeat: messages.Heartbeat, now_ms: float
     ) -> bool:
         """Applies a peer's heartbeat; returns whether it had new changes."""
-        self.newest_version = max(
-            self.newest_version, heartbeat.configuration_version
-        )
+        self.configurations.record_version(heartbeat.configuration_version)
         if not self.listed or heartbeat.position.revision == 0:
             return False
         if heartbeat.since > self.position:
@@ -306,21 +290,6 @@
             self.upstreams_changed("told")
         return heartbeat.position > before and bool(heartbeat.changes)
 
-    def apply_configuration_update(
-        self, update: messages.ConfigurationUpdate
-    ) -> None:
-        """Applies a configuration received from a peer."""
-        known = self.configuration
-        if known is not None and update.version <= known.version:
-            return
-        try:
-            unpacker = zlib.decompressobj()
-            value = unpacker.decompress(update.packed, MAX_CONFIGURATION_BYTES)
-        except zlib.error as error:
-            self.log.event("configuration-rejected", detail=str(error))
-            return
-        self.apply_configuration(value, update.revision, from_peer=True)
-
     def add_snapshot_part(
         self, part: messages.SnapshotPart, now_ms: float
     ) -> None:
@@ -330,9 +299,7 @@
         except exceptions.DecodeError as error:
             self.log.event("snapshot-rejected", detail=error.detail)
             return
-        self.newest_version = max(
-            self.newest_version, part.configuration_version
-        )
+        self.configurations.record_version(part.configuration_version)
         if whole is None or whole.position < self.position:
             return
         changed = self.registry.apply_snapshot(whole, now_ms)
@@ -342,14 +309,6 @@
 
     # For other processes
 
-    def configuration_update(self) -> messages.ConfigurationUpdate | None:
-        """Returns the configuration as a message, None if it is too large."""
-        if self.configuration is None or len(self.packed) > MAX_UPDATE_BYTES:
-            return None
-        return messages.ConfigurationUpdate(
-            self.configuration.version, self.configuration_revision, self.packed
-        )
-
     def snapshot_for(
         self, request: messages.SnapshotRequest, now_ms: float
     ) -> list[messages.Message]:
@@ -359,8 +318,8 @@
         """
         if not self.listed or self.position < request.position:
             return []
-        update = self.configuration_update()
-        version = self.configuration.version if self.configuration else 0
+        update = self.configurations.update()
+        version = self.configurations.version
         age_ms = self.staleness_ms(now_ms)
         parts = self.packed_snapshot.parts(
             self.registry.entries(), self.position, version, age_ms, now_ms
@@ -389,48 +348,6 @@
             change.key, change.value, change.position, now_ms
         )
 
-    def apply_configuration(
-        self, value: bytes, revision: int, from_peer: bool = False
-    ) -> bool:
-        """Applies a configuration and forwards it if it is newer.
-
-        Args:
-            value: Its value in the store.
-            revision: The store's revision of the value.
-            from_peer: Whether it was received from a peer.
-
-        Returns:
-            Whether it is newer than the known one.
-        """
-        try:
-            configuration = self.layout.decode_configuration(value)
-        except exceptions.DecodeError as error:
-            self.log.event(
-                "configuration-rejected", detail=error.detail, revision=revision
-            )
-            return False
-        known = self.configuration
-        if known is not None and configuration.version <= known.version:
-            return False
-        self.configuration = configuration
-        self.packed = zlib.compress(value)
-        self.configuration_revision = revision
-        self.newest_version = max(self.newest_version, configuration.version)
-        self.log.event(
-            "configuration",
-            version=configuration.version,
-            revision=revision,
-            routes=len(configuration.routes),
-            accounts=None
-            if configuration.accounts is None
-            else len(configuration.accounts),
-        )
-        self.on_configuration(configuration)
-        update = self.configuration_update()
-        if update is not None:
-            self.broadcast(update, from_peer)
-        return True
-
     def upstreams_changed(self, source: str) -> None:
         """Logs the upstreams and passes them to ``on_upstreams``."""
         upstreams = list(self.registry.upstreams())
--- a/src/lovageyoke/node/messenger.py
+++ b/src/lovageyoke/node/messenger.py
@@ -297,7 +297,7 @@
             for state in message.members:
                 self.node.members.merge(state, now_ms)
         elif isinstance(message, messages.ConfigurationUpdate):
-            self.replica.apply_configuration_update(message)
+            self.replica.configurations.apply_update(message)
         elif isinstance(message, messages.SnapshotPart):
             self.snapshots.receive(message)
         elif isinstance(message, messages.RemovedUpstreams):
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -58,7 +58,7 @@
     )
     assert_that(harness.asked, matchers.HasLength(1))
     update = messages.ConfigurationUpdate(3, 2, zlib.compress(b"3"))
-    harness.replica.apply_configuration_update(update)
+    harness.replica.configurations.apply_update(update)
     upstream = conftest.decode_upstream("up/u9", b"x")
     whole = snapshot.Snapshot(
         positions.at(9),
@@ -106,8 +106,8 @@
     await harness.start_alone()
     harness.sent.clear()
     update = messages.ConfigurationUpdate(5, 9, zlib.compress(b"5"))
-    harness.replica.apply_configuration_update(update)
-    harness.replica.apply_configuration_update(update)
+    harness.replica.configurations.apply_update(update)
+    harness.replica.configurations.apply_update(update)
     ((_, from_peer),) = harness.sent
     assert_that(from_peer, matchers.Equals(True))
 
@@ -117,9 +117,9 @@
 ) -> None:
     await harness.start_alone()
     old = messages.ConfigurationUpdate(2, 1, zlib.compress(b"2"))
-    harness.replica.apply_configuration_update(old)
+    harness.replica.configurations.apply_update(old)
     broken = messages.ConfigurationUpdate(9, 1, b"no zlib")
-    harness.replica.apply_configuration_update(broken)
+    harness.replica.configurations.apply_update(broken)
     assert_that(harness.versions, matchers.Equals([3]))
 
 
--- a/tests/fleet/test_replica_model.py
+++ b/tests/fleet/test_replica_model.py
@@ -211,7 +211,7 @@
         if isinstance(sent.message, messages.Heartbeat):
             replica.apply_heartbeat(sent.message, now_ms)
         elif isinstance(sent.message, messages.ConfigurationUpdate):
-            replica.apply_configuration_update(sent.message)
+            replica.configurations.apply_update(sent.message)
         elif isinstance(sent.message, messages.SnapshotPart):
             replica.add_snapshot_part(sent.message, now_ms)
 
@@ -248,7 +248,10 @@
             assert replica.configuration is not None
             change = self.state_at(replica.position).get("config")
             wanted = int(change.value or b"0") if change else 0
-            known = max(replica.configuration.version, replica.newest_version)
+            known = max(
+                replica.configuration.version,
+                replica.configurations.newest_version,
+            )
             assert_that(known, matchers.Not(matchers.LessThan(wanted)))
 
 
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -276,7 +276,7 @@
     monkeypatch.setattr(harness.process.store, "watch", watch)
     monkeypatch.setattr(follower, "send_request", send_request)
     await waiting.wait()
-    harness.process.replica.newest_version = harness.version() + 1
+    harness.process.replica.configurations.record_version(harness.version() + 1)
     async with asyncio.timeout(conftest.WAIT_S):
         await requested.wait()
 
