--- a/tests/fleet/test_fleet_returns.py
+++ b/tests/fleet/test_fleet_returns.py
@@ -19,6 +19,8 @@
 START_MS = 6_000.0
 COPY_AGE_MS = 5_000.0
 OUTAGE_MS = 2_000.0
+RESTART_GAP_MS = 300.0  # Between two processes.
+RESTART_MS = 500.0
 MAX_CALLS_PER_S = 200  # Without watches; a store serves 2,000 reads a second.
 MAX_REPEATED_CALLS_PER_S = 50  # Of a fleet of 16.
 LEFT = "u003"  # Left after the copy was made.
@@ -123,3 +125,42 @@
     drill.fleet.run(2_000.0)
     calls = calls_in_a_second(drill)
     assert_that(calls, matchers.LessThan(MAX_REPEATED_CALLS_PER_S))
+
+
+def restart_in_turn(drill: Drill) -> None:
+    """Schedules a restart of each process, a few at a time."""
+    for index, process in enumerate(drill.fleet.processes):
+        after_ms = index * RESTART_GAP_MS
+        drill.fleet.schedule(after_ms, process.stop)
+        drill.fleet.schedule(after_ms + RESTART_MS, process.start)
+
+
+@pytest.mark.parametrize("drill", SIZES[:1], ids=SIZE_IDS[:1], indirect=True)
+def test_a_return_during_a_rolling_restart_is_followed(drill: Drill) -> None:
+    # Guards against processes that start between the outage and the return
+    # and take the lost history from their peers.
+    drill.fleet.schedule(COPY_AGE_MS, lambda: restart_in_turn(drill))
+    drill.run_to_return()
+    drill.write_again()
+    drill.fleet.run(len(drill.fleet.processes) * RESTART_GAP_MS + RESTART_MS)
+    drill.fleet.run_until(
+        lambda: drill.all_at(3) and drill.all_know_the_position(),
+        scenarios.JOIN_BOUND_MS,
+    )
+    scenarios.check_monotonic(drill.fleet)
+
+
+@pytest.mark.parametrize("drill", SIZES[:1], ids=SIZE_IDS[:1], indirect=True)
+def test_domains_cut_off_from_the_store_follow_a_return(drill: Drill) -> None:
+    # Guards against a domain whose collector knows the lost history only.
+    lost = drill.fleet.processes[6:11]
+    own_store = virtual_time.SharedStore()
+    own_store.error = exceptions.PlatformUnavailableError("cut off")
+    for each in lost:
+        each.follower.store = own_store
+    drill.run_to_return()
+    drill.write_again()
+    drill.fleet.run_until(
+        lambda: drill.all_at(3) and drill.all_know_the_position(),
+        scenarios.CHANGE_BOUND_MS,
+    )
