Ignore a watch of another era in the replica itself

The follower dropped such answers, but the replica would have entered the era by them, without the state that the changes follow. The replica model now answers watches by their revision alone, as the store does; it holds.

--- a/src/lovageyoke/fleet/replica.py
+++ b/src/lovageyoke/fleet/replica.py
@@ -241,7 +241,9 @@
         )
 
     def apply_watch(self, found: revisions.Changes, now_ms: float) -> None:
-        """Applies the changes that a watch returned."""
+        """Applies the changes that a watch returned, unless of another era."""
+        if found.position.era != self.position.era:
+            return
         changed = False
         for change in found.events:
             changed |= self.apply_event(change, now_ms)
--- a/tests/fleet/test_replica_model.py
+++ b/tests/fleet/test_replica_model.py
@@ -167,9 +167,9 @@
     @stateful.rule(index=PROCESS)
     def watch(self, index: int) -> None:
         replica = self.replicas[index]
-        # The follower applies no watch of another era.
-        if replica.listed and replica.position.era == self.position.era:
-            found = tuple(self.changes_after(replica.position))
+        if replica.listed:
+            # The store knows a watch by its revision only, not by its era.
+            found = tuple(self.changes[replica.position.revision :])
             replica.apply_watch(
                 revisions.Changes(found, self.position), self.clock.now_ms()
             )
