Play a return of the store against a whole process

A process with its real client and listeners, a store fake that returns from a copy, an upstream that drains afterwards, with a 410 and without one.

--- a/tests/fakes/platform_store.py
+++ b/tests/fakes/platform_store.py
@@ -9,11 +9,22 @@
 from typing import Any
 import urllib.parse
 
+import attrs
+
 from lovageyoke.hop import messages
 
 PAGE = 50
 
 
+@attrs.frozen
+class Copy:
+    """State of a store at a revision."""
+
+    items: dict[str, tuple[bytes, int, int]]
+    events: list[dict[str, Any]]
+    revision: int
+
+
 class PlatformStore:
     """Serves the store's HTTP API from memory and injects faults.
 
@@ -52,6 +63,19 @@
         del self.items[key]
         self.publish({"key": key, "revision": self.revision, "deleted": True})
 
+    def copy(self) -> Copy:
+        return Copy(dict(self.items), list(self.events), self.revision)
+
+    def restore(self, copy: Copy) -> None:
+        """Returns to a copy in a new era; its leases are gone."""
+        self.items = dict(copy.items)
+        self.events = list(copy.events)
+        self.revision = copy.revision
+        self.leases = set()
+        self.era = (self.era or 0) + 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def publish(self, event: dict[str, Any]) -> None:
         self.events.append(event)
         self.changed.set()
@@ -118,7 +142,7 @@
 
     async def watch(self, query: dict[str, str]) -> messages.Response:
         after = int(query["after"])
-        if after < self.compacted_revision:
+        if not self.compacted_revision <= after <= self.revision:
             return answer(410, {})
         found = self.events_after(query["prefix"], after)
         if not found:
