--- a/src/lovageyoke/store/positions.py
+++ b/src/lovageyoke/store/positions.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import attrs
+from typing import NamedTuple
 
 
-@attrs.frozen(order=True)
-class Position:
+class Position(NamedTuple):
     """A point in the history of the store.
 
     A store that is restored from a copy enters a new era, in which it assigns
     revisions again that it had already assigned. The era therefore comes first
-    in the order of positions.
+    in the order of positions. A tuple, as processes compare several positions
+    for each message and entry.
 
     Attributes:
         era: The era; 0 if the store doesn't state it, which precedes all
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -40,10 +40,12 @@
     """Returns a heartbeat whose positions are of one era."""
     return attrs.evolve(
         heartbeat,
-        position=attrs.evolve(heartbeat.position, era=era),
-        since=attrs.evolve(heartbeat.since, era=era),
+        position=positions.at(heartbeat.position.revision, era),
+        since=positions.at(heartbeat.since.revision, era),
         changes=tuple(
-            attrs.evolve(each, position=attrs.evolve(each.position, era=era))
+            attrs.evolve(
+                each, position=positions.at(each.position.revision, era)
+            )
             for each in heartbeat.changes
         ),
     )
