--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -40,6 +40,24 @@
     return model.Upstream(name, 1, "maps", host, 80, "a", 6, draining)
 
 
+def decode_lifetime(key: str, value: bytes) -> model.Upstream:
+    """Decodes a start time, a sequence number and a state."""
+    if not value:
+        raise exceptions.DecodeError("empty entry")
+    started, sequence, state = value.decode().split()
+    return model.Upstream(
+        key,
+        int(started),
+        "maps",
+        f"10.0.0.{key[-1]}",
+        80,
+        "a",
+        6,
+        draining=state == "draining",
+        sequence=int(sequence),
+    )
+
+
 def decode_configuration(value: bytes) -> model.Configuration:
     if not value.isdigit():
         raise exceptions.DecodeError("no configuration")
--- a/tests/fleet/test_lifetimes.py
+++ b/tests/fleet/test_lifetimes.py
@@ -9,14 +9,12 @@
 from testtools.assertions import assert_that
 
 from fakes import positions
-from lovageyoke.errors import exceptions
 from lovageyoke.fleet import codec
 from lovageyoke.fleet import lifetimes as fleet_lifetimes
 from lovageyoke.fleet import messages
 from lovageyoke.fleet import registry as fleet_registry
 from lovageyoke.fleet import replica as fleet_replica
 from lovageyoke.observe import events
-from lovageyoke.routing import model
 from lovageyoke.store import revisions
 
 HEARTBEAT_MS = 1_500.0
@@ -24,23 +22,6 @@
 SERVICE = ("u2", "u3", "u4")  # Other upstreams that stay.
 
 
-def decode(key: str, value: bytes) -> model.Upstream:
-    if not value:
-        raise exceptions.DecodeError("empty entry")
-    started, sequence, state = value.decode().split()
-    return model.Upstream(
-        key,
-        int(started),
-        "maps",
-        f"10.0.0.{key[-1]}",
-        80,
-        "a",
-        6,
-        draining=state == "draining",
-        sequence=int(sequence),
-    )
-
-
 @attrs.define
 class Entries:
     """Writes entries to a registry at rising revisions."""
@@ -69,7 +50,10 @@
 @pytest.fixture
 def entries() -> Entries:
     made = Entries(
-        fleet_registry.Registry(decode, heartbeat_ms=HEARTBEAT_MS), 10
+        fleet_registry.Registry(
+            conftest.decode_lifetime, heartbeat_ms=HEARTBEAT_MS
+        ),
+        10,
     )
     for key in SERVICE:
         made.put("7 1 ready", 0.0, key)
@@ -192,16 +176,20 @@
     ended = fleet_lifetimes.EndedLifetimes()
     most = fleet_lifetimes.MAX_LIFETIMES
     for index in range(most + 1):
-        ended.record(decode(f"u{index}", b"7 4 ready"), 0.0, 0.0)
+        ended.record(
+            conftest.decode_lifetime(f"u{index}", b"7 4 ready"), 0.0, 0.0
+        )
     assert_that(ended.ended, matchers.HasLength(most))
-    oldest = decode("u0", b"7 4 ready")
+    oldest = conftest.decode_lifetime("u0", b"7 4 ready")
     assert_that(ended.is_late(oldest), matchers.Equals(False))
-    newest = decode(f"u{most}", b"7 4 ready")
+    newest = conftest.decode_lifetime(f"u{most}", b"7 4 ready")
     assert_that(ended.is_late(newest), matchers.Equals(True))
 
 
 def new_replica(log: events.EventLog) -> fleet_replica.Replica:
-    layout = attrs.evolve(conftest.LAYOUT, decode_upstream=decode)
+    layout = attrs.evolve(
+        conftest.LAYOUT, decode_upstream=conftest.decode_lifetime
+    )
     return fleet_replica.Replica(
         layout,
         log,
--- a/tests/fleet/test_restored_entries.py
+++ b/tests/fleet/test_restored_entries.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import pytest
+from tests.fleet import conftest
 from testtools import matchers
 from testtools.assertions import assert_that
 
@@ -23,18 +24,7 @@
 def decode(key: str, value: bytes) -> model.Upstream | model.Evacuation:
     if key.startswith("evacuate/"):
         return model.Evacuation(key.removeprefix("evacuate/"))
-    started, sequence, state = value.decode().split()
-    return model.Upstream(
-        key,
-        int(started),
-        "maps",
-        f"10.0.0.{key[-1]}",
-        80,
-        "a",
-        6,
-        draining=state == "draining",
-        sequence=int(sequence),
-    )
+    return conftest.decode_lifetime(key, value)
 
 
 def return_with(
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
 import contextlib
 
 import pytest
 from testtools import matchers
 from testtools.assertions import assert_that
 
-from fakes import handlers
 from fakes import platform_store
 from fakes import positions
 from lovageyoke.errors import exceptions
@@ -20,21 +18,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def store() -> platform_store.PlatformStore:
-    return platform_store.PlatformStore()
-
-
-@pytest.fixture
-async def client(
-    store: platform_store.PlatformStore,
-) -> AsyncIterator[store_client.StoreClient]:
-    async with handlers.Listener(handlers.Handler(store.respond)) as listener:
-        client = store_client.StoreClient("127.0.0.1", listener.port)
-        yield client
-        client.close()
-
-
 def respond_with(era: bytes | None) -> messages.Response:
     headers = [] if era is None else [(b"store-era", era)]
     return messages.Response(200, b"-", headers)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-
 import pytest
 from testtools import matchers
 from testtools.assertions import assert_that
 
-from fakes import handlers
 from fakes import platform_store
 from fakes import positions
 from lovageyoke.errors import exceptions
@@ -19,21 +16,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def store() -> platform_store.PlatformStore:
-    return platform_store.PlatformStore()
-
-
-@pytest.fixture
-async def client(
-    store: platform_store.PlatformStore,
-) -> AsyncIterator[store_client.StoreClient]:
-    async with handlers.Listener(handlers.Handler(store.respond)) as listener:
-        client = store_client.StoreClient("127.0.0.1", listener.port)
-        yield client
-        client.close()
-
-
 async def test_get_returns_item_and_revision(
     store: platform_store.PlatformStore, client: store_client.StoreClient
 ) -> None:
