--- a/tests/fleet/test_store_return.py
+++ b/tests/fleet/test_store_return.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 from tests.fleet import conftest
 from testtools import matchers
@@ -96,16 +97,28 @@
     assert_that(returned.versions[-2:], matchers.Equals([newest, newest + 1]))
 
 
+async def step_through_pauses(harness: conftest.FollowerHarness) -> None:
+    async with anyio.create_task_group() as group:
+        group.start_soon(harness.follower.step)
+        await anyio.wait_all_tasks_blocked()
+        harness.clock.advance(2.0 * fleet_follower.RETRY_MAX_MS)
+
+
+@pytest.mark.parametrize("watches_between", [False, True])
 async def test_two_returns_in_a_row_are_followed(
-    store: revision_store.RevisionStore, returned: conftest.FollowerHarness
+    store: revision_store.RevisionStore,
+    returned: conftest.FollowerHarness,
+    *,
+    watches_between: bool,
 ) -> None:
     # Guards against a return to a copy of the time before the last return.
     copy = store.copy()
     store.put("up/u3", b"x")
     await returned.follower.step()
-    await returned.follower.step()
+    if watches_between:
+        await returned.follower.step()
     store.restore(copy)
-    await returned.follower.step()
+    await step_through_pauses(returned)
     store.put("up/u4", b"x")
     await returned.follower.step()
     assert_that(returned.upstreams, matchers.Contains("u4"))
